--- a/crates/agateflow/src/lockstep/agent.rs
+++ b/crates/agateflow/src/lockstep/agent.rs
@@ -29,10 +29,10 @@
 const HOLD_LEAD: u64 = 3;
 
 /// Part of the most loaded ranks' load that a change must save.
-const LEAST_SAVING: f64 = 0.04;
+const LEAST_SAVING: f64 = 0.08;
 
 /// Least demand on which a plan is made.
-const LEAST_DEMAND: f64 = 2_000.0;
+const LEAST_DEMAND: f64 = 100_000.0;
 
 /// Bits of a version below the counter: two coordinators that know the same versions choose
 /// different ones.
--- a/crates/agateflow/src/lockstep/even.rs
+++ b/crates/agateflow/src/lockstep/even.rs
@@ -17,6 +17,9 @@
 /// Least part by which a step must lower the measure.
 const LEAST_GAIN: f64 = 1e-3;
 
+/// The same for each copy that a step asks for.
+const LEAST_GAIN_PER_COPY: f64 = 0.04;
+
 /// Bounds of a map.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -130,21 +133,27 @@
     fn improve(&mut self, copies: &[usize], bounds: &Bounds) {
         for _ in 0..self.ranks.len() * STEPS_PER_RANK {
             let now = self.measure();
+            let before = self.new_count();
             let best = self.steps().into_iter().filter_map(|step| {
                 self.apply(step);
                 let fits = self.fits(step, copies, bounds);
-                let measure = self.measure();
+                let copies = self.new_count().saturating_sub(before) as f64;
+                let gain = 1.0 - self.measure() / now;
                 self.undo(step);
-                fits.then_some((measure, step))
+                let pays = gain > LEAST_GAIN + LEAST_GAIN_PER_COPY * copies;
+                (fits && pays).then_some((gain / (1.0 + copies), step))
             });
-            let best = best.min_by(|a, b| a.0.total_cmp(&b.0));
-            match best {
-                Some((measure, step)) if measure < now * (1.0 - LEAST_GAIN) => self.apply(step),
-                _ => return,
+            match best.max_by(|a, b| a.0.total_cmp(&b.0)) {
+                Some((_, step)) => self.apply(step),
+                None => return,
             }
         }
     }
 
+    fn new_count(&self) -> usize {
+        (0..self.ranks.len()).map(|rank| self.new_at(rank)).sum()
+    }
+
     fn fits(&self, step: Step, copies: &[usize], bounds: &Bounds) -> bool {
         [step.to, step.back].into_iter().flatten().all(|rank| {
             let new = self.new_at(rank);
--- a/crates/agateflowd/src/direct/place.rs
+++ b/crates/agateflowd/src/direct/place.rs
@@ -180,13 +180,12 @@
         }
     }
 
-    /// Whether upstreams of `service` have about as much as they may have.
-    pub fn is_full(&self, service: &id::Service) -> bool {
+    /// Requests at the fullest upstream of `service`.
+    fn fullest(&self, service: &id::Service) -> u32 {
         let directory = self.directory.borrow();
-        let limit = self.limit(service, &directory);
         let load = self.load.borrow();
-        let most = directory.ready(service).map(|upstream| load.active(&upstream.vm)).max();
-        most.is_some_and(|most| f64::from(most) + 1.0 >= limit)
+        let counts = directory.ready(service).map(|upstream| load.active(&upstream.vm));
+        counts.max().unwrap_or(0)
     }
 
     fn occupy(self: &Rc<Self>, service: &id::Service, vm: &id::Vm) -> Option<Place> {
@@ -277,11 +276,11 @@
 
     /// Takes in a pause between two events of a stream of `service`.
     pub fn paused(&self, service: &id::Service, pause: unit::Micros) {
-        let full = self.is_full(service);
+        let fullest = self.fullest(service);
         let now = self.now();
         let mut services = self.services.borrow_mut();
         if let Some(pace) = services.get_mut(service).and_then(|service| service.pace.as_mut()) {
-            pace.record(pause, full, now);
+            pace.record(pause, fullest, now);
         }
     }
 }
--- a/crates/agateflowd/src/direct/rank.rs
+++ b/crates/agateflowd/src/direct/rank.rs
@@ -25,10 +25,10 @@
 const FAST_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Time between two looks at the rank's counters.
-const COUNT_INTERVAL: unit::Millis = unit::Millis::new(200);
+const COUNT_INTERVAL: unit::Millis = unit::Millis::new(95);
 
 /// Time between two statuses without news.
-const STATUS_INTERVAL: unit::Millis = unit::Millis::new(300);
+const STATUS_INTERVAL: unit::Millis = unit::Millis::new(190);
 
 /// Time between two signs of life to entries.
 const HELLO_INTERVAL: unit::Millis = unit::Millis::new(1_000);
