--- a/crates/agateflow/src/lockstep/agent.rs
+++ b/crates/agateflow/src/lockstep/agent.rs
@@ -17,16 +17,16 @@
 const REPORT_LIFE: unit::Millis = unit::Millis::new(1_000);
 
 /// Time after which an order without effect is given again.
-const ORDER_RETRY: unit::Millis = unit::Millis::new(120);
+const ORDER_RETRY: unit::Millis = unit::Millis::new(10);
 
 /// The same for the order to copy experts, which takes long.
-const PREPARE_RETRY: unit::Millis = unit::Millis::new(600);
+const PREPARE_RETRY: unit::Millis = unit::Millis::new(100);
 
 /// Time between the end of a change and the next one.
-const CHANGE_PAUSE: unit::Millis = unit::Millis::new(300);
+const CHANGE_PAUSE: unit::Millis = unit::Millis::new(50);
 
 /// Passes between the last one begun and the one that is held.
-const HOLD_LEAD: u64 = 3;
+const HOLD_LEAD: u64 = 1;
 
 /// Part of the most loaded ranks' load that a change must save.
 const LEAST_SAVING: f64 = 0.08;
@@ -220,11 +220,19 @@
         })
     }
 
+    /// Where the agent of the lowest rank heard is, unless it is this one.
+    pub fn coordinator(&self, now: unit::Millis) -> Option<SocketAddr> {
+        let (own, _) = self.report.as_ref()?;
+        let lower = self
+            .others
+            .iter()
+            .filter(|(rank, known)| **rank < own.rank && now < known.heard + STATUS_LIFE);
+        lower.min_by_key(|(rank, _)| **rank).map(|(_, known)| known.status.address)
+    }
+
     /// Whether this is the lowest rank whose agent is heard.
     pub fn is_coordinator(&self, now: unit::Millis) -> bool {
-        let Some((own, _)) = &self.report else { return false };
-        let lower = self.others.iter().filter(|(rank, _)| **rank < own.rank);
-        !lower.into_iter().any(|(_, known)| now < known.heard + STATUS_LIFE)
+        self.report.is_some() && self.coordinator(now).is_none()
     }
 
     /// The next order to the own rank, if one is due.
--- a/crates/agateflow/src/lockstep/demand.rs
+++ b/crates/agateflow/src/lockstep/demand.rs
@@ -3,7 +3,7 @@
 use crate::unit;
 
 /// Time after which a choice counts half.
-const HALF_LIFE_MS: f64 = 250.0;
+const HALF_LIFE_MS: f64 = 150.0;
 
 /// Decayed counts of one rank's choices, from counters that only grow.
 #[derive(Clone, Debug, Default)]
--- a/crates/agateflowd/src/direct/flow.rs
+++ b/crates/agateflowd/src/direct/flow.rs
@@ -66,6 +66,10 @@
     pub last_event: Option<u64>,
     /// Its times, for metrics.
     pub meter: Meter,
+    /// Time from its arrival to the first part of its answer.
+    pub first: Option<unit::Millis>,
+    /// Longest pause between two events of its stream.
+    pub longest: unit::Micros,
     in_flight: Rc<Cell<bool>>,
     failure: Option<Response<Bytes>>,
 }
@@ -111,6 +115,8 @@
             tried: Vec::new(),
             last_event: request.ask.last_event,
             meter: Meter::named(team, class),
+            first: None,
+            longest: unit::Micros::ZERO,
             in_flight: Rc::default(),
             failure: None,
             entry,
@@ -203,7 +209,8 @@
         let reused = channel.is_reused();
         event!(self.entry.logger, Event::RequestSent; "id" => &*self.request.ask.id,
             "upstream" => %upstream.vm, "service" => %self.request.service,
-            "active" => place.active, "version" => self.request.table.version(),
+            "active" => place.active, "limit" => place.limit, "factor" => place.factor,
+            "version" => self.request.table.version(),
             "directory" => self.entry.directory.borrow().revision(),
             "waited" => %self.entry.now().saturating_sub(self.request.arrived),
             "reused" => reused);
@@ -420,6 +427,8 @@
         event!(self.entry.logger, Event::RequestEnded; "id" => &*self.request.ask.id,
             "route" => &*self.request.route.name, "status" => status.as_u16(),
             "outcome" => outcome.as_str(), "sent" => self.record.sent(),
+            "first" => self.first.map(unit::Millis::get),
+            "longest_pause_us" => self.longest.get(),
             "took" => %self.entry.now().saturating_sub(self.request.arrived));
         self.meter.end(outcome);
     }
--- a/crates/agateflowd/src/direct/place.rs
+++ b/crates/agateflowd/src/direct/place.rs
@@ -62,6 +62,10 @@
     pub upstream: directory::Upstream,
     /// Requests there when the place was given, of all entries.
     pub active: u32,
+    /// Requests that the upstream might have.
+    pub limit: f64,
+    /// How much slower its group passes than with even experts, if it is one.
+    pub factor: Option<f64>,
 }
 
 impl Drop for Place {
@@ -190,10 +194,15 @@
 
     fn occupy(self: &Rc<Self>, service: &id::Service, vm: &id::Vm) -> Option<Place> {
         let upstream = self.directory.borrow().get(vm)?.clone();
+        let limit = self.limit(service, &self.directory.borrow());
+        let services = self.services.borrow();
+        let pace = services.get(service).and_then(|service| service.pace.as_ref());
+        let factor = pace.map(Pace::factor);
         let mut load = self.load.borrow_mut();
         load.start(vm);
         let active = load.active(vm);
-        Some(Place { entry: self.clone(), service: service.clone(), upstream, active })
+        let service = service.clone();
+        Some(Place { entry: self.clone(), service, upstream, active, limit, factor })
     }
 
     /// Gives free places of `service` to those that wait, and sends away who waited too long.
--- a/crates/agateflowd/src/direct/rank.rs
+++ b/crates/agateflowd/src/direct/rank.rs
@@ -19,16 +19,19 @@
 use crate::event;
 
 /// Time between two looks at the rank.
-const INTERVAL: Duration = Duration::from_millis(100);
+const INTERVAL: Duration = Duration::from_millis(50);
 
 /// The same while a pass is held.
 const FAST_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Time between two looks at the rank's counters.
-const COUNT_INTERVAL: unit::Millis = unit::Millis::new(95);
+const COUNT_INTERVAL: unit::Millis = unit::Millis::new(45);
 
-/// Time between two statuses without news.
-const STATUS_INTERVAL: unit::Millis = unit::Millis::new(190);
+/// Time between two statuses to all agents without news.
+const STATUS_INTERVAL: unit::Millis = unit::Millis::new(300);
+
+/// Time between two statuses with the demand to the agent that plans.
+const DEMAND_INTERVAL: unit::Millis = unit::Millis::new(45);
 
 /// Time between two signs of life to entries.
 const HELLO_INTERVAL: unit::Millis = unit::Millis::new(1_000);
@@ -66,6 +69,7 @@
     told_at: unit::Millis,
     hello_at: Option<unit::Millis>,
     counted_at: unit::Millis,
+    demand_at: unit::Millis,
     lost: bool,
 }
 
@@ -79,6 +83,8 @@
     let socket = socket.map_err(|error| Error::Bind(options.peers, error))?;
     let mut terminate = unix::signal(unix::SignalKind::terminate()).map_err(Error::Signal)?;
     let mut interrupt = unix::signal(unix::SignalKind::interrupt()).map_err(Error::Signal)?;
+    // Nothing of the settings may change while the process runs.
+    let _hangup = unix::signal(unix::SignalKind::hangup()).map_err(Error::Signal)?;
     event!(logger, Event::Started; "version" => env!("CARGO_PKG_VERSION"),
         "service" => %options.service);
     let mut process = Process {
@@ -94,6 +100,7 @@
         told_at: unit::Millis::ZERO,
         hello_at: None,
         counted_at: unit::Millis::ZERO,
+        demand_at: unit::Millis::ZERO,
         lost: false,
         logger,
     };
@@ -232,7 +239,7 @@
     /// Tells the group's agents what is new, and from time to time what is not.
     fn tell(&mut self) {
         let now = self.now();
-        let Some(status) = self.agent.status(true, now) else { return };
+        let Some(status) = self.agent.status(false, now) else { return };
         let news = self.told.as_ref().is_none_or(|told| is_news(told, &status));
         if news || now >= self.told_at + STATUS_INTERVAL {
             self.told_at = now;
@@ -241,9 +248,21 @@
         }
         if self.hello_at.is_none_or(|at| now >= at + HELLO_INTERVAL) {
             self.hello_at = Some(now);
-            let status = Status { demand: Vec::new(), change: None, ..status };
+            let status = Status { change: None, ..status };
             self.send(&status, &self.entries);
         }
+        self.tell_demand(now);
+    }
+
+    fn tell_demand(&mut self, now: unit::Millis) {
+        let Some(coordinator) = self.agent.coordinator(now) else { return };
+        if now < self.demand_at + DEMAND_INTERVAL {
+            return;
+        }
+        self.demand_at = now;
+        if let Some(status) = self.agent.status(true, now) {
+            self.send(&status, &IndexSet::from([coordinator]));
+        }
     }
 
     fn send(&self, status: &Status, to: &IndexSet<SocketAddr>) {
--- a/crates/agateflowd/src/direct/socket.rs
+++ b/crates/agateflowd/src/direct/socket.rs
@@ -44,6 +44,8 @@
 pub async fn connect(address: SocketAddr, limit: Duration) -> io::Result<TcpStream> {
     let stream = time::timeout(limit, TcpStream::connect(address)).await??;
     tune(&stream)?;
+    // What is given up must not reach the peer later, behind a partition that ends.
+    SockRef::from(&stream).set_linger(Some(Duration::ZERO))?;
     Ok(stream)
 }
 
--- a/crates/agateflowd/src/direct/stream.rs
+++ b/crates/agateflowd/src/direct/stream.rs
@@ -122,8 +122,11 @@
 fn observe(call: &mut Call, last: &mut Option<Instant>) {
     let now = Instant::now();
     call.meter.part();
+    let since_arrival = call.entry.now().saturating_sub(call.request.arrived);
+    call.first.get_or_insert(since_arrival);
     if let Some(before) = last.replace(now) {
         let pause = unit::Micros::new((now - before).as_micros() as u64);
+        call.longest = call.longest.max(pause);
         call.entry.paused(&call.request.service, pause);
     }
 }
