Say at once that a group of ranks is closed, and when to come back

Cause: during a zone cut of 5.2 s requests were sent to ranks that refused them, and callers were asked to come back after 0.25 s only to be refused again.

--- a/crates/agateflow/src/direct/load.rs
+++ b/crates/agateflow/src/direct/load.rs
@@ -60,6 +60,8 @@
     Send(id::Vm),
     /// Each upstream has as much as it should.
     Full,
+    /// The upstreams are ranks of a group that is closed.
+    Closed,
     /// No upstream is there that was not tried.
     None,
 }
@@ -191,6 +193,10 @@
         if untried.is_empty() {
             return Choice::None;
         }
+        let untried: Vec<&Upstream> = untried.into_iter().filter(|u| u.open).collect();
+        if untried.is_empty() {
+            return Choice::Closed;
+        }
         let sound: Vec<&Upstream> =
             untried.iter().filter(|u| !self.is_avoided(&u.vm, now)).copied().collect();
         let pool = if sound.is_empty() { untried } else { sound };
--- a/crates/agateflow/src/direct/mod.rs
+++ b/crates/agateflow/src/direct/mod.rs
@@ -8,6 +8,7 @@
 pub mod directory;
 pub mod events;
 pub mod load;
+pub mod outage;
 pub mod pace;
 pub mod peer;
 pub mod queue;
--- /dev/null
+++ b/crates/agateflow/src/direct/outage.rs
@@ -0,0 +1,53 @@
+//! Times in which the group of ranks behind a service is closed.
+//!
+//! The registry tells of them, and so do ranks that refuse requests although they have room. How
+//! long one lasts is not known; it is taken to last as long again as it has lasted.
+
+use crate::unit;
+
+/// Shortest time after which callers are asked to come back.
+const MIN_RETRY: unit::Millis = unit::Millis::new(1_500);
+
+/// Longest such time.
+const MAX_RETRY: unit::Millis = unit::Millis::new(4_000);
+
+/// Time after a refusal by a rank with room in which the group counts as closed.
+const REFUSAL_LIFE: unit::Millis = unit::Millis::new(400);
+
+/// What is known of one service's group.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Outage {
+    since: Option<unit::Millis>,
+    refused: Option<unit::Millis>,
+}
+
+impl Outage {
+    /// The registry lists no rank whose group is open.
+    pub fn close(&mut self, now: unit::Millis) {
+        self.since.get_or_insert(now);
+    }
+
+    /// A rank with room refused a request.
+    pub fn refuse(&mut self, now: unit::Millis) {
+        self.close(now);
+        self.refused = Some(now);
+    }
+
+    /// A rank answered.
+    pub const fn end(&mut self) {
+        self.since = None;
+        self.refused = None;
+    }
+
+    /// Whether requests are better not sent now, by what ranks refused.
+    pub fn is_refusing(&self, now: unit::Millis) -> bool {
+        self.refused.is_some_and(|at| now < at + REFUSAL_LIFE)
+    }
+
+    /// Time after which a caller is asked to come back; `form` is the time that a group takes to
+    /// open.
+    pub fn retry_after(&self, form: unit::Millis, now: unit::Millis) -> unit::Millis {
+        let lasted = self.since.map_or(unit::Millis::ZERO, |since| now.saturating_sub(since));
+        (lasted + form).max(MIN_RETRY).min(MAX_RETRY)
+    }
+}
--- a/crates/agateflowd/src/direct/entry.rs
+++ b/crates/agateflowd/src/direct/entry.rs
@@ -148,7 +148,7 @@
         match &change {
             Change::Listed(upstream) => event!(self.logger, Event::UpstreamListed;
                 "upstream" => %upstream.vm, "service" => %upstream.service,
-                "address" => %upstream.address, "state" => ?upstream.state,
+                "address" => %upstream.address, "state" => ?upstream.state, "open" => upstream.open,
                 "revision" => revision),
             Change::Removed(vm) => event!(self.logger, Event::UpstreamRemoved;
                 "upstream" => %vm, "revision" => revision),
--- a/crates/agateflowd/src/direct/flow.rs
+++ b/crates/agateflowd/src/direct/flow.rs
@@ -170,7 +170,10 @@
             ran.set(self.record.maybe_ran());
             match step {
                 Step::Again => {}
-                Step::Refuse => return self.refuse("upstreams did not run it", LATE_RETRY),
+                Step::Refuse => {
+                    let again = self.entry.again(&self.request.service);
+                    return self.refuse("upstreams did not run it", again);
+                }
                 Step::Pass => return self.pass_failure(),
                 Step::Fail => return self.fail(StatusCode::BAD_GATEWAY, "upstream broke off"),
                 Step::TimeOut => return self.fail(StatusCode::GATEWAY_TIMEOUT, "upstream silent"),
@@ -324,6 +327,9 @@
         if answer == Answer::Misdirected || answer == Answer::NotRun {
             self.in_flight.set(false);
         }
+        if answer == Answer::NotRun && f64::from(begun.place.active) <= begun.place.limit {
+            self.entry.refused_with_room(&self.request.service);
+        }
         Err(self.ended(&upstream, end.0, end.1))
     }
 
@@ -404,6 +410,7 @@
             return self.fail(StatusCode::BAD_GATEWAY, "no upstream left");
         }
         match refusal {
+            Refusal::Closed(again) => self.refuse("group of ranks closed", again),
             Refusal::NoUpstream(again) => self.refuse("no upstream", again),
             Refusal::Busy(again) => self.refuse("no place in time", again),
         }
--- a/crates/agateflowd/src/direct/place.rs
+++ b/crates/agateflowd/src/direct/place.rs
@@ -4,6 +4,7 @@
 
 use agateflow::direct::budget::Budget;
 use agateflow::direct::load::{Ask, Choice};
+use agateflow::direct::outage::Outage;
 use agateflow::direct::pace::Pace;
 use agateflow::direct::queue::{Item, Queue, Ticket};
 use agateflow::direct::{config, directory};
@@ -30,7 +31,10 @@
     pub budget: Budget,
     /// How much its ranks may have, where they are engines.
     pub pace: Option<Pace>,
+    /// Whether its group of ranks is closed.
+    pub outage: Outage,
     queue: Queue,
+    form: unit::Millis,
     waiters: IndexMap<Ticket, Waiter>,
 }
 
@@ -50,6 +54,8 @@
 pub enum Refusal {
     /// No upstream is there that was not tried.
     NoUpstream(unit::Millis),
+    /// The group of ranks is closed.
+    Closed(unit::Millis),
     /// The wait would be too long.
     Busy(unit::Millis),
 }
@@ -105,10 +111,13 @@
         let service = services.entry(name.clone()).or_insert_with(|| Service {
             budget: Budget::new(self.options.retries),
             pace: None,
+            outage: Outage::default(),
             queue: Queue::new(),
+            form: unit::Millis::ZERO,
             waiters: IndexMap::new(),
         });
         let engine = table.service(name).and_then(|service| service.engine);
+        service.form = engine.map_or(unit::Millis::ZERO, |engine| engine.form);
         if let (None, Some(engine), Some(pause)) = (&service.pace, engine, pause) {
             service.pace = Some(Pace::new(&engine, pause, now));
         }
@@ -125,6 +134,7 @@
         let choice = self.choose(&wish.service, &wish.tried);
         match choice {
             Choice::None => return Err(Refusal::NoUpstream(NO_UPSTREAM_RETRY)),
+            Choice::Closed => return Err(self.closed(&wish.service)),
             Choice::Send(vm) if !waits => {
                 if let Some(place) = self.occupy(&wish.service, &vm) {
                     return Ok(place);
@@ -135,6 +145,40 @@
         self.wait(wish).await
     }
 
+    /// The refusal while the group of `service` is closed.
+    fn closed(&self, service: &id::Service) -> Refusal {
+        let now = self.now();
+        let mut services = self.services.borrow_mut();
+        let again = services.get_mut(service).map(|service| {
+            service.outage.close(now);
+            service.outage.retry_after(service.form, now)
+        });
+        Refusal::Closed(again.unwrap_or(NO_UPSTREAM_RETRY))
+    }
+
+    /// Time after which a caller is asked to come back whose request upstreams refused.
+    pub fn again(&self, service: &id::Service) -> unit::Millis {
+        let now = self.now();
+        let services = self.services.borrow();
+        match services.get(service) {
+            Some(service) if service.outage.is_refusing(now) => {
+                service.outage.retry_after(service.form, now)
+            }
+            Some(service) => service.queue.retry_after(0),
+            None => NO_UPSTREAM_RETRY,
+        }
+    }
+
+    /// A rank of `service` refused a request, though by the count of its requests it had room.
+    pub fn refused_with_room(&self, service: &id::Service) {
+        let now = self.now();
+        if let Some(service) = self.services.borrow_mut().get_mut(service) {
+            if service.pace.is_some() {
+                service.outage.refuse(now);
+            }
+        }
+    }
+
     async fn wait(self: &Rc<Self>, wish: &Wish) -> Result<Place, Refusal> {
         let now = self.now();
         let (grant, granted) = oneshot::channel();
@@ -154,6 +198,9 @@
         self.pump(&wish.service);
         match granted.await {
             Ok(place) => Ok(place),
+            Err(_) if self.choose(&wish.service, &wish.tried) == Choice::Closed => {
+                Err(self.closed(&wish.service))
+            }
             Err(_) => Err(Refusal::Busy(self.retry_after(wish))),
         }
     }
@@ -165,11 +212,17 @@
     }
 
     fn choose(&self, service: &id::Service, tried: &[id::Vm]) -> Choice {
+        let now = self.now();
+        let services = self.services.borrow();
+        if services.get(service).is_some_and(|service| service.outage.is_refusing(now)) {
+            return Choice::Closed;
+        }
+        drop(services);
         let directory = self.directory.borrow();
         let limit = self.limit(service, &directory);
         let ask = Ask { limit, tried, near: &self.options.data_centre };
         let mut rng = self.rng.borrow_mut();
-        self.load.borrow().choose(directory.ready(service), &ask, &mut *rng, self.now())
+        self.load.borrow().choose(directory.ready(service), &ask, &mut *rng, now)
     }
 
     /// Requests that an upstream of `service` may have.
@@ -213,7 +266,7 @@
             let place = match self.choose(service, &tried) {
                 Choice::Send(vm) => self.occupy(service, &vm),
                 Choice::Full => None,
-                Choice::None => {
+                Choice::Closed | Choice::None => {
                     self.leave(service, ticket);
                     continue;
                 }
@@ -288,7 +341,9 @@
         let fullest = self.fullest(service);
         let now = self.now();
         let mut services = self.services.borrow_mut();
-        if let Some(pace) = services.get_mut(service).and_then(|service| service.pace.as_mut()) {
+        let Some(service) = services.get_mut(service) else { return };
+        service.outage.end();
+        if let Some(pace) = service.pace.as_mut() {
             pace.record(pause, fullest, now);
         }
     }
