Spread placements over ranks, and hold later passes while orders get lost

Cause: nine entries chose the rank with the fewest requests by counts up to 0.25 s old, so the fullest rank had 15 to 27 where the emptiest had 6 to 11; arming took more than a pass where orders got lost, and the group stood meanwhile. Change: among ranks within two requests of the fewest, the one with the fewest of the entry itself; heartbeats every 0.1 s; three passes of lead for 8 s after a lost order; a request's cost by the mean rank.

--- a/crates/agateflow/src/direct/load.rs
+++ b/crates/agateflow/src/direct/load.rs
@@ -26,6 +26,9 @@
 /// of sound upstreams stay below.
 const FAILING_SHARE: f64 = 0.45;
 
+/// Requests by which an upstream may have more than the one with the fewest to be chosen as well.
+const SPREAD: u32 = 2;
+
 /// How an attempt ended, as far as the upstream's health is concerned.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Health {
@@ -180,7 +183,8 @@
         self.records.retain(|vm, record| record.own > 0 || keep(vm));
     }
 
-    /// Chooses the upstream with the fewest requests, of the own data centre among equals.
+    /// Chooses among the upstreams with about the fewest requests the one with the fewest of this
+    /// entry, of the own data centre among equals.
     pub fn choose<'a>(
         &self,
         upstreams: impl Iterator<Item = &'a Upstream>,
@@ -200,15 +204,19 @@
         let sound: Vec<&Upstream> =
             untried.iter().filter(|u| !self.is_avoided(&u.vm, now)).copied().collect();
         let pool = if sound.is_empty() { untried } else { sound };
-        let rank = |u: &Upstream| (self.active(&u.vm), u.data_centre != *ask.near);
-        let Some(best) = pool.iter().map(|upstream| rank(upstream)).min() else {
-            return Choice::None;
-        };
-        if f64::from(best.0) + 1.0 > ask.limit {
+        let least = pool.iter().map(|upstream| self.active(&upstream.vm)).min().unwrap_or(0);
+        if f64::from(least) + 0.5 > ask.limit {
             return Choice::Full;
         }
+        // Other entries choose at the same time by counts as old: the one with the fewest requests
+        // would get those of all. What this entry itself has there is exact.
+        let near_least = |u: &&Upstream| self.active(&u.vm) <= least + SPREAD;
+        let fits = |u: &&Upstream| f64::from(self.active(&u.vm)) + 0.5 <= ask.limit;
+        let pool: Vec<&Upstream> = pool.into_iter().filter(near_least).filter(fits).collect();
+        let rank = |u: &Upstream| (self.own(&u.vm), u.data_centre != *ask.near);
+        let best = pool.iter().map(|upstream| rank(upstream)).min();
         let equal: Vec<&Upstream> =
-            pool.into_iter().filter(|upstream| rank(upstream) == best).collect();
+            pool.into_iter().filter(|upstream| Some(rank(upstream)) == best).collect();
         match equal.choose(rng) {
             Some(upstream) => Choice::Send(upstream.vm.clone()),
             None => Choice::None,
--- a/crates/agateflow/src/direct/pace.rs
+++ b/crates/agateflow/src/direct/pace.rs
@@ -61,16 +61,16 @@
         (room_ms / self.high_ms).max(MIN_LIMIT).min(self.slots)
     }
 
-    /// Cost of a request of the fullest rank against the cost model's.
+    /// Cost of a request of each rank against the cost model's.
     pub fn factor(&self) -> f64 {
         self.cost_ms / self.model_ms
     }
 
-    /// Takes in a pause between two events of a stream while the fullest rank had `writers`
-    /// requests.
-    pub fn record(&mut self, pause: unit::Micros, writers: u32, now: unit::Millis) {
+    /// Takes in a pause between two events of a stream while a rank had `writers` requests in the
+    /// mean.
+    pub fn record(&mut self, pause: unit::Micros, writers: f64, now: unit::Millis) {
         let pause_ms = pause.get() as f64 / 1_000.0;
-        let cost_ms = (pause_ms - self.fixed_ms) / f64::from(writers.max(1));
+        let cost_ms = (pause_ms - self.fixed_ms) / writers.max(1.0);
         if cost_ms > self.model_ms * MAX_FACTOR {
             return;
         }
--- a/crates/agateflow/src/lockstep/agent.rs
+++ b/crates/agateflow/src/lockstep/agent.rs
@@ -28,6 +28,15 @@
 /// Passes between the last one begun and the one that is held.
 const HOLD_LEAD: u64 = 1;
 
+/// The same while orders get lost: arming all ranks then takes more than a pass.
+const LOSSY_HOLD_LEAD: u64 = 3;
+
+/// Time to arm all ranks above which orders count as lost.
+const ARM_TIME: unit::Millis = unit::Millis::new(25);
+
+/// Time after a lost order for which more are expected.
+const LOSSY_TIME: unit::Millis = unit::Millis::new(8_000);
+
 /// Part of the most loaded ranks' load that a change must save.
 const LEAST_SAVING: f64 = 0.08;
 
@@ -95,6 +104,8 @@
     demand: Demand,
     change: Option<Change>,
     hold: Option<u64>,
+    held_at: unit::Millis,
+    lossy_until: unit::Millis,
     ordered: Option<(Order, unit::Millis)>,
     ended: unit::Millis,
     top: u64,
@@ -113,6 +124,8 @@
             demand: Demand::default(),
             change: None,
             hold: None,
+            held_at: unit::Millis::ZERO,
+            lossy_until: unit::Millis::ZERO,
             ordered: None,
             ended: unit::Millis::ZERO,
             top: 0,
@@ -248,6 +261,9 @@
             self.coordinate(&own, now);
         }
         let order = self.due(&own, now)?;
+        if matches!(order, Order::Go { .. }) && now > self.held_at + ARM_TIME {
+            self.lossy_until = now + LOSSY_TIME;
+        }
         let retry = match order {
             Order::Prepare { .. } => PREPARE_RETRY,
             _ => ORDER_RETRY,
@@ -358,16 +374,18 @@
             return;
         }
         let step = reports.iter().map(|(report, _)| report.step).max().unwrap_or(0);
+        let lead = if now < self.lossy_until { LOSSY_HOLD_LEAD } else { HOLD_LEAD };
         match self.hold {
             Some(hold) if own.held == Some(hold) => {
+                self.held_at = now;
                 if let Some(change) = &mut self.change {
                     change.step = Some(hold);
                 }
             }
             // The pass began before the hold was in force.
-            Some(hold) if step >= hold => self.hold = Some(step + HOLD_LEAD),
+            Some(hold) if step >= hold => self.hold = Some(step + lead),
             Some(_) => {}
-            None if own.held.is_none() => self.hold = Some(step + HOLD_LEAD),
+            None if own.held.is_none() => self.hold = Some(step + lead),
             None => {}
         }
     }
--- a/crates/agateflowd/src/direct/flow.rs
+++ b/crates/agateflowd/src/direct/flow.rs
@@ -212,7 +212,7 @@
         let reused = channel.is_reused();
         event!(self.entry.logger, Event::RequestSent; "id" => &*self.request.ask.id,
             "upstream" => %upstream.vm, "service" => %self.request.service,
-            "active" => place.active, "limit" => place.limit, "factor" => place.factor,
+            "active" => place.active, "fullest" => place.fullest, "limit" => place.limit, "factor" => place.factor,
             "version" => self.request.table.version(),
             "directory" => self.entry.directory.borrow().revision(),
             "waited" => %self.entry.now().saturating_sub(self.request.arrived),
--- a/crates/agateflowd/src/direct/gossip.rs
+++ b/crates/agateflowd/src/direct/gossip.rs
@@ -14,7 +14,7 @@
 use crate::event;
 
 /// Time between two heartbeats.
-const INTERVAL: Duration = Duration::from_millis(250);
+const INTERVAL: Duration = Duration::from_millis(100);
 
 /// Least time between two heartbeats when there is news.
 const MIN_INTERVAL: Duration = Duration::from_millis(20);
--- a/crates/agateflowd/src/direct/place.rs
+++ b/crates/agateflowd/src/direct/place.rs
@@ -68,6 +68,8 @@
     pub upstream: directory::Upstream,
     /// Requests there when the place was given, of all entries.
     pub active: u32,
+    /// Requests at the fullest upstream of the service.
+    pub fullest: u32,
     /// Requests that the upstream might have.
     pub limit: f64,
     /// How much slower its group passes than with even experts, if it is one.
@@ -237,17 +239,20 @@
         }
     }
 
-    /// Requests at the fullest upstream of `service`.
-    fn fullest(&self, service: &id::Service) -> u32 {
+    /// Requests at the upstreams of `service`: of the fullest, and the mean.
+    fn spread(&self, service: &id::Service) -> (u32, f64) {
         let directory = self.directory.borrow();
         let load = self.load.borrow();
         let counts = directory.ready(service).map(|upstream| load.active(&upstream.vm));
-        counts.max().unwrap_or(0)
+        let (most, sum, number) =
+            counts.fold((0, 0, 0), |(most, sum, n), count| (count.max(most), sum + count, n + 1));
+        (most, f64::from(sum) / f64::from(number.max(1)))
     }
 
     fn occupy(self: &Rc<Self>, service: &id::Service, vm: &id::Vm) -> Option<Place> {
         let upstream = self.directory.borrow().get(vm)?.clone();
         let limit = self.limit(service, &self.directory.borrow());
+        let (fullest, _) = self.spread(service);
         let services = self.services.borrow();
         let pace = services.get(service).and_then(|service| service.pace.as_ref());
         let factor = pace.map(Pace::factor);
@@ -255,7 +260,7 @@
         load.start(vm);
         let active = load.active(vm);
         let service = service.clone();
-        Some(Place { entry: self.clone(), service, upstream, active, limit, factor })
+        Some(Place { entry: self.clone(), service, upstream, active, fullest, limit, factor })
     }
 
     /// Gives free places of `service` to those that wait, and sends away who waited too long.
@@ -338,13 +343,13 @@
 
     /// Takes in a pause between two events of a stream of `service`.
     pub fn paused(&self, service: &id::Service, pause: unit::Micros) {
-        let fullest = self.fullest(service);
+        let (_, mean) = self.spread(service);
         let now = self.now();
         let mut services = self.services.borrow_mut();
         let Some(service) = services.get_mut(service) else { return };
         service.outage.end();
         if let Some(pace) = service.pace.as_mut() {
-            pace.record(pause, fullest, now);
+            pace.record(pause, mean, now);
         }
     }
 }
