--- /dev/null
+++ b/crates/agateflow/tests/direct.rs
@@ -0,0 +1,518 @@
+//! Decisions of an entry that sends requests straight to upstreams.
+
+#![allow(clippy::unwrap_used)]
+
+use std::net::SocketAddr;
+
+use agateflow::direct::attempt::{End, Record, Step};
+use agateflow::direct::budget::{Bounds, Budget};
+use agateflow::direct::config::{
+    Config, Engine, Kind, Limits, Route, Service, Table, Target, Team,
+};
+use agateflow::direct::directory::{Change, Directory, State, Upstream};
+use agateflow::direct::events::{Error, Splitter};
+use agateflow::direct::load::{Ask, Choice, Health, Load};
+use agateflow::direct::outage::Outage;
+use agateflow::direct::pace::Pace;
+use agateflow::direct::peer::{self, Heartbeat};
+use agateflow::direct::queue::{Item, Queue};
+use agateflow::direct::suspect::{Crash, Fingerprint, Lifetime, Register};
+use agateflow::id;
+use agateflow::unit::{Bytes, Micros, Millis, Tokens};
+use indexmap::IndexMap;
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use rstest::rstest;
+
+fn ms(number: u64) -> Millis {
+    Millis::new(number)
+}
+
+fn vm(name: &str) -> id::Vm {
+    id::Vm::new(name).unwrap()
+}
+
+fn service(name: &str) -> id::Service {
+    id::Service::new(name).unwrap()
+}
+
+fn upstream(name: &str) -> Upstream {
+    Upstream {
+        vm: vm(name),
+        address: "10.0.0.1:80".parse().unwrap(),
+        service: service("s"),
+        data_centre: id::DataCentre::new("a").unwrap(),
+        slots: 6,
+        state: State::Ready,
+        born: 1,
+        open: true,
+    }
+}
+
+fn route(prefix: &str, targets: &[(&str, f64)]) -> Route {
+    let target = |(name, weight): &(&str, f64)| Target { service: service(name), weight: *weight };
+    Route {
+        name: prefix.into(),
+        host: "Host.example".into(),
+        prefix: prefix.into(),
+        kind: Kind::Idempotent,
+        timeout: ms(800),
+        objective: ms(100),
+        pause: None,
+        attempts: 2,
+        priority: 1,
+        public: false,
+        targets: targets.iter().map(target).collect(),
+    }
+}
+
+fn engine() -> Engine {
+    Engine {
+        slots: 12,
+        memory: Tokens::new(280_000),
+        stride: 4,
+        step_ms: 4.5,
+        request_ms: 0.9,
+        read_per_ms: 61.0,
+        chunk: 512,
+        usual_answer: 97.0,
+        form: ms(600),
+        shape: None,
+    }
+}
+
+fn config(routes: Vec<Route>) -> Config {
+    Config {
+        version: 7,
+        routes,
+        services: vec![Service { name: service("s"), connections: 100, engine: Some(engine()) }],
+        teams: vec![Team {
+            name: id::Team::new("t").unwrap(),
+            keys: ["key".into(), "old".into()].into(),
+            priority: Some(0),
+        }],
+        limits: Limits {
+            header: Bytes::new(16_384),
+            body: Bytes::new(1_000),
+            header_time: ms(3_000),
+            idle_time: ms(15_000),
+        },
+    }
+}
+
+#[rstest]
+#[case("host.example", "/a/b/c", Some("/a/b/"))]
+#[case("HOST.example", "/a/x", Some("/a/"))]
+#[case("host.example", "/ab", None)]
+#[case("other.example", "/a/b/c", None)]
+fn longest_prefix_of_the_host_wins(
+    #[case] host: &str,
+    #[case] path: &str,
+    #[case] expected: Option<&str>,
+) {
+    let table = Table::new(config(vec![route("/a/", &[]), route("/a/b/", &[])]));
+
+    let found = table.route(host, path).map(|route| &*route.prefix);
+
+    assert_eq!(found, expected);
+}
+
+#[test]
+fn targets_are_drawn_by_weight() {
+    let route = route("/a/", &[("x", 90.0), ("y", 10.0), ("z", 0.0)]);
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    let mut drawn: IndexMap<id::Service, u32> = IndexMap::new();
+
+    for _ in 0..10_000 {
+        *drawn.entry(route.draw(&mut rng).unwrap().clone()).or_default() += 1;
+    }
+
+    assert!((8_800..9_200).contains(&drawn[&service("x")]), "{drawn:?}");
+    assert_eq!(drawn.get(&service("z")), None);
+}
+
+#[test]
+fn keys_lead_to_their_team() {
+    let table = Table::new(config(vec![]));
+
+    assert_eq!(table.team("old").map(|team| team.name.as_str()), Some("t"));
+    assert!(table.team("unknown").is_none());
+}
+
+#[test]
+fn removal_is_believed_at_once_while_the_registry_answers() {
+    let mut directory = Directory::new();
+    directory.apply(Change::Listed(upstream("u")), 1, ms(0));
+
+    directory.apply(Change::Removed(vm("u")), 2, ms(10));
+
+    assert!(directory.get(&vm("u")).is_none());
+}
+
+#[test]
+fn upstreams_that_lapsed_with_the_registry_serve_until_it_was_back_for_a_while() {
+    let mut directory = Directory::new();
+    directory.apply(Change::Listed(upstream("alive")), 1, ms(0));
+    directory.apply(Change::Listed(upstream("dead")), 1, ms(0));
+    directory.lose();
+    directory.regain(ms(5_000));
+    directory.replace(Vec::new(), 9, ms(5_000));
+    assert!(directory.get(&vm("alive")).is_some());
+    directory.apply(Change::Listed(upstream("alive")), 10, ms(6_000));
+
+    let early = directory.tick(ms(6_900));
+    let gone = directory.tick(ms(7_000));
+
+    assert_eq!(early, []);
+    assert_eq!(gone, [vm("dead")]);
+    assert!(directory.get(&vm("alive")).is_some());
+}
+
+#[test]
+fn upstream_that_leaves_is_not_chosen() {
+    let mut directory = Directory::new();
+    directory.apply(Change::Listed(upstream("u")), 1, ms(0));
+
+    directory.drain(&[vm("u")]);
+
+    assert!(directory.get(&vm("u")).is_none());
+    assert_eq!(directory.ready(&service("s")).count(), 0);
+}
+
+fn end() -> impl Strategy<Value = End> {
+    prop::sample::select(vec![
+        End::Unsent,
+        End::Misdirected,
+        End::NotRun,
+        End::Failed,
+        End::Broken,
+        End::Silent,
+    ])
+}
+
+fn kind() -> impl Strategy<Value = Kind> {
+    prop::sample::select(vec![Kind::Idempotent, Kind::Once, Kind::ResumableStream, Kind::Stream])
+}
+
+proptest! {
+    #[test]
+    fn refusals_are_true_and_attempts_bounded(
+        kind in kind(),
+        limit in 1_u32..4,
+        ends in prop::collection::vec((end(), any::<bool>(), any::<bool>()), 1..20),
+    ) {
+        let mut record = Record::new(kind, limit);
+        let mut ran = 0;
+        let mut sent = 0;
+        for (end, budget, time) in ends {
+            let step = record.end(end, budget, time);
+
+            ran += u32::from(matches!(end, End::Failed | End::Broken | End::Silent));
+            sent += u32::from(!matches!(end, End::Unsent | End::Misdirected));
+            prop_assert!(step != Step::Refuse || ran == 0, "refused after it may have run");
+            prop_assert!(sent <= limit, "sent to {sent} upstreams of {limit}");
+            if step != Step::Again {
+                break;
+            }
+            prop_assert!(sent < limit);
+            prop_assert!(kind.may_repeat() || ran == 0, "{kind:?} was sent again");
+            prop_assert!(time);
+            prop_assert!(budget || end == End::Unsent);
+        }
+    }
+
+    #[test]
+    fn streams_are_cut_between_events_however_bytes_arrive(
+        count in 1_u64..30,
+        cuts in prop::collection::vec(1_usize..40, 1..50),
+    ) {
+        let text: String = (1..=count).map(|id| format!("id: {id}\ndata: x{id}\n\n")).collect();
+        let mut splitter = Splitter::new(None);
+        let mut passed = Vec::new();
+        let mut rest = text.as_bytes();
+        let mut cuts = cuts.into_iter().cycle();
+
+        while !rest.is_empty() {
+            let (part, left) = rest.split_at(cuts.next().unwrap().min(rest.len()));
+            let whole = splitter.push(part).unwrap();
+            prop_assert!(whole.is_empty() || whole.ends_with(b"\n\n"));
+            passed.extend_from_slice(&whole);
+            rest = left;
+        }
+
+        prop_assert_eq!(passed, text.as_bytes());
+        prop_assert_eq!(splitter.last(), Some(count));
+        prop_assert!(!splitter.has_partial());
+    }
+}
+
+#[test]
+fn resumed_stream_must_go_on_behind_the_last_event() {
+    let mut splitter = Splitter::new(None);
+    splitter.push(b"id: 1\ndata: a\n\nid: 2\nda").unwrap();
+    splitter.restart();
+
+    let again = splitter.push(b"id: 3\ndata: c\n\n");
+
+    assert_eq!(again, Err(Error::Gap { last: 1, found: 3 }));
+}
+
+#[test]
+fn budgets_of_all_entries_stay_within_the_whole() {
+    let bounds = Bounds { ratio: 0.2, window: ms(10_000), extra: 94.0 };
+    let mut budgets = vec![Budget::new(bounds); 9];
+    let mut taken = 0;
+
+    for now in 0..1_000 {
+        for budget in &mut budgets {
+            if now % 10 == 0 {
+                budget.request(ms(now));
+            }
+            taken += u32::from(budget.take(9, ms(now)));
+        }
+    }
+
+    assert!(f64::from(taken) <= 0.2 * 900.0 + 94.0, "{taken} retries");
+    assert!(taken > 100, "{taken} retries");
+    assert!(budgets[0].take(9, ms(20_000)), "the window has passed");
+}
+
+fn ask<'a>(limit: f64, tried: &'a [id::Vm], near: &'a id::DataCentre) -> Ask<'a> {
+    Ask { limit, tried, near }
+}
+
+#[test]
+fn failing_upstream_is_avoided_while_another_is_there() {
+    let near = id::DataCentre::new("a").unwrap();
+    let upstreams = [upstream("good"), upstream("bad")];
+    let mut load = Load::new();
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+
+    load.observe(&vm("bad"), Health::Unreachable, ms(0));
+
+    for now in 0..300 {
+        let choice = load.choose(upstreams.iter(), &ask(9.0, &[], &near), &mut rng, ms(now));
+        assert_eq!(choice, Choice::Send(vm("good")));
+    }
+    let alone = load.choose(upstreams[1..].iter(), &ask(9.0, &[], &near), &mut rng, ms(1));
+    assert_eq!(alone, Choice::Send(vm("bad")));
+}
+
+#[test]
+fn rare_failures_of_a_sound_upstream_do_not_count_against_it() {
+    let mut load = Load::new();
+
+    let avoided = (0..700).filter(|&n| {
+        let health = if n % 7 == 0 { Health::Bad } else { Health::Good };
+        load.observe(&vm("u"), health, ms(n))
+    });
+
+    assert_eq!(avoided.count(), 0);
+}
+
+#[rstest]
+#[case::full(2.0, true, Choice::Full)]
+#[case::closed(9.0, false, Choice::Closed)]
+fn no_place_is_given_where_there_is_none(
+    #[case] limit: f64,
+    #[case] open: bool,
+    #[case] expected: Choice,
+) {
+    let near = id::DataCentre::new("a").unwrap();
+    let upstreams = [Upstream { open, ..upstream("u") }];
+    let mut load = Load::new();
+    load.report("other", IndexMap::from([(vm("u"), 2)]), ms(0));
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+
+    let choice = load.choose(upstreams.iter(), &ask(limit, &[], &near), &mut rng, ms(1));
+
+    assert_eq!(choice, expected);
+}
+
+fn item(priority: u8, arrived: u64) -> Item {
+    Item { priority, arrived: ms(arrived), timely: ms(arrived + 300), latest: ms(arrived + 1_000) }
+}
+
+#[test]
+fn queue_serves_by_rank_then_those_still_on_time_then_arrival() {
+    let mut queue = Queue::new();
+    let late = queue.push(item(1, 0), ms(0)).unwrap();
+    let second = queue.push(item(1, 250), ms(250)).unwrap();
+    let third = queue.push(item(1, 260), ms(260)).unwrap();
+    let urgent = queue.push(item(0, 270), ms(270)).unwrap();
+
+    let mut order = Vec::new();
+    while let Some(ticket) = queue.first(ms(400)) {
+        queue.serve(ticket, ms(400));
+        order.push(ticket);
+    }
+
+    assert_eq!(order, [urgent, second, third, late]);
+}
+
+#[test]
+fn queue_refuses_at_once_what_would_wait_too_long() {
+    let mut queue = Queue::new();
+    for number in 0..30 {
+        let ticket = queue.push(item(1, number * 100), ms(number * 100)).unwrap();
+        queue.serve(ticket, ms(number * 100));
+    }
+    let places = (0..50).filter(|_| queue.push(item(1, 3_000), ms(3_000)).is_some()).count();
+
+    let retry_after = queue.retry_after(1);
+
+    assert!((9..=12).contains(&places), "{places} wait at 0.1 s each for 1 s");
+    assert!(retry_after >= ms(900), "{retry_after}");
+}
+
+#[test]
+fn rank_gets_fewer_requests_after_a_slow_pass_and_more_again_later() {
+    let mut pace = Pace::new(&engine(), ms(120), ms(0));
+    let steady = |pace: &mut Pace, from: u64, to: u64| {
+        for now in (from..to).step_by(10) {
+            pace.record(Micros::new(50_000), 6.0, ms(now));
+        }
+    };
+    steady(&mut pace, 0, 10_000);
+    let before = pace.limit();
+
+    pace.record(Micros::new(160_000), 6.0, ms(10_000));
+    let after = pace.limit();
+    steady(&mut pace, 10_010, 40_000);
+
+    assert!(after < 5.0, "limit {after} after a pass of 160 ms with 6 requests");
+    assert!(before > 10.0 && pace.limit() > 10.0, "{before}, {}", pace.limit());
+}
+
+#[test]
+fn stalled_group_says_nothing_about_its_experts() {
+    let mut pace = Pace::new(&engine(), ms(120), ms(0));
+    let before = pace.limit();
+
+    pace.record(Micros::new(1_500_000), 6.0, ms(100));
+
+    assert!((pace.limit() - before).abs() < 1e-9);
+}
+
+#[test]
+fn callers_come_back_after_about_the_time_that_an_outage_has_lasted() {
+    let mut outage = Outage::default();
+    outage.close(ms(1_000));
+
+    let early = outage.retry_after(ms(600), ms(1_000));
+    let late = outage.retry_after(ms(600), ms(3_500));
+    outage.end();
+
+    assert_eq!(early, ms(1_500));
+    assert_eq!(late, ms(3_100));
+    assert!(!outage.is_refusing(ms(3_500)));
+}
+
+#[test]
+fn request_that_crashed_three_upstreams_is_refused_until_it_runs_well() {
+    let request = Fingerprint::new("t", "POST", "/a", b"body");
+    let crash = |name| Crash { request, upstream: Lifetime::new(name, 1) };
+    let mut register = Register::new();
+    for name in ["a", "a", "b"] {
+        register.crash(crash(name), ms(0));
+    }
+    assert!(!register.is_poison(request, ms(1)), "one upstream counts once");
+
+    let news = register.crash(crash("c"), ms(1));
+
+    assert!(news && register.is_poison(request, ms(2)));
+    register.clear(request);
+    assert!(!register.is_poison(request, ms(2)));
+}
+
+#[test]
+fn same_request_has_one_fingerprint_whatever_its_id() {
+    let first = Fingerprint::new("t", "POST", "/a", b"body");
+
+    assert_eq!(first, Fingerprint::new("t", "POST", "/a", b"body"));
+    assert_ne!(first, Fingerprint::new("u", "POST", "/a", b"body"));
+    assert_ne!(first, Fingerprint::new("t", "POST", "/a", b"other"));
+}
+
+fn heartbeat(address: &str, config: u64) -> Heartbeat {
+    Heartbeat {
+        vm: vm("e"),
+        incarnation: 1,
+        address: address.parse().unwrap(),
+        config,
+        directory: 1,
+        leaving: false,
+        counts: IndexMap::new(),
+        draining: Vec::new(),
+        crashes: Vec::new(),
+        known: vec!["10.0.0.9:7".parse().unwrap()],
+    }
+}
+
+#[test]
+fn silent_entries_still_count_for_shared_limits() {
+    let own: SocketAddr = "10.0.0.1:7".parse().unwrap();
+    let mut table = peer::Table::new(own, ["10.0.0.2:7".parse().unwrap()]);
+    assert_eq!(table.count(), 8, "a safe share before others were heard of");
+
+    table.hear(&heartbeat("10.0.0.2:7", 5), ms(0));
+    table.hear(&heartbeat("10.0.0.3:7", 6), ms(0));
+
+    assert_eq!(table.present(ms(9_000)).len(), 0);
+    assert_eq!(table.count(), 3);
+    assert_eq!(table.addresses().len(), 3, "the known one is told as well");
+    assert_eq!(table.ahead(5, ms(100)), Some("10.0.0.3:7".parse().unwrap()));
+    assert_eq!(table.ahead(6, ms(100)), None);
+}
+
+/// Plays callers against a service of plain upstreams and returns the share answered in time.
+fn play(place: impl Fn(&mut Load, &[Upstream], &mut Pcg64Mcg, u64) -> Option<id::Vm>) -> f64 {
+    let upstreams: Vec<Upstream> = (0..3).map(|n| upstream(&format!("u{n}"))).collect();
+    let mut load = Load::new();
+    let mut rng = Pcg64Mcg::seed_from_u64(5);
+    let mut free_at: IndexMap<id::Vm, Vec<u64>> = IndexMap::new();
+    let mut running: Vec<(u64, id::Vm)> = Vec::new();
+    let mut good = 0;
+    let total = 3_000;
+    for now in 0..total {
+        for (_, vm) in running.extract_if(.., |(end, _)| *end <= now) {
+            load.end(&vm);
+        }
+        let Some(vm) = place(&mut load, &upstreams, &mut rng, now) else { continue };
+        load.start(&vm);
+        // The first upstream is four times as slow.
+        let work = if vm.as_str() == "u0" { 40 } else { 10 };
+        let slots = free_at.entry(vm.clone()).or_insert_with(|| vec![0; 6]);
+        let slot = slots.iter_mut().min().unwrap();
+        *slot = (*slot).max(now) + work;
+        good += u64::from(*slot - now <= 60);
+        running.push((*slot, vm));
+    }
+    good as f64 / total as f64
+}
+
+#[test]
+fn placement_serves_more_in_time_than_turns_where_one_upstream_is_slow() {
+    let near = id::DataCentre::new("a").unwrap();
+
+    let chosen = play(|load, upstreams, rng, now| {
+        match load.choose(upstreams.iter(), &ask(50.0, &[], &near), rng, ms(now)) {
+            Choice::Send(vm) => Some(vm),
+            _ => None,
+        }
+    });
+    let turns =
+        play(|_, upstreams, _, now| Some(upstreams[now as usize % upstreams.len()].vm.clone()));
+
+    assert!(chosen > 0.99, "{chosen} in time");
+    assert!(turns < 0.8, "{turns} in time by turns");
+}
+
+#[test]
+fn limits_are_read_in_their_units() {
+    let table = Table::new(config(vec![]));
+
+    assert_eq!(table.limits().body, Bytes::new(1_000));
+    assert_eq!(table.service(&service("s")).unwrap().connections, 100);
+}
--- /dev/null
+++ b/crates/agateflow/tests/lockstep.rs
@@ -0,0 +1,396 @@
+//! Agents beside the ranks of a group, with orders that get lost or are carried out late, and
+//! agents that are killed, frozen and cut off. No pass may ever begin with two maps.
+
+use std::net::SocketAddr;
+
+use agateflow::lockstep::agent::{Agent, Shape};
+use agateflow::lockstep::even::{self, Bounds};
+use agateflow::lockstep::report::{Armed, Map, Order, Report, Status};
+use agateflow::unit::Millis;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use rstest::rstest;
+
+const RANKS: usize = 4;
+const SHAPE: Shape =
+    Shape { sets: 2, experts: 8, bounds: Bounds { places: 3, new: 2, new_total: 4 } };
+/// Time of a pass, in ticks of 10 ms.
+const PASS_TICKS: u64 = 6;
+const TICK_MS: u64 = 10;
+/// Time that a rank takes to copy experts.
+const COPY_MS: u64 = 200;
+
+/// A rank as the platform describes it: it compares nothing with other ranks.
+#[derive(Clone, Default)]
+struct Rank {
+    map: (u64, Map),
+    prepared: Option<(u64, Map)>,
+    copying: Option<(u64, u64, Map)>,
+    armed: Option<Armed>,
+    held: Option<u64>,
+    top: u64,
+}
+
+struct World {
+    rng: StdRng,
+    now: u64,
+    epoch: u64,
+    step: u64,
+    ranks: Vec<Rank>,
+    agents: Vec<Option<Agent>>,
+    frozen: Vec<u64>,
+    /// Orders on their way to ranks, with the time at which they are carried out.
+    orders: Vec<(u64, usize, Order)>,
+    /// Statuses on their way to agents.
+    statuses: Vec<(u64, usize, Status)>,
+    counts: Vec<Vec<u64>>,
+    stalled: u64,
+    longest_stall: u64,
+    changes: u64,
+    faults: Faults,
+}
+
+#[derive(Clone, Copy, Default)]
+struct Faults {
+    /// Part of the orders that get no answer and are carried out 2 to 12 s later.
+    late: f64,
+    /// Part of the statuses that are lost.
+    lost: f64,
+    /// Chance a tick that an agent is killed.
+    kill: f64,
+    /// Chance a tick that an agent is frozen.
+    freeze: f64,
+    /// Chance a tick that a rank crashes and the group forms anew.
+    crash: f64,
+    /// Whether agents are told that all others are armed, which they must find out themselves.
+    lie: bool,
+}
+
+impl World {
+    fn new(seed: u64, faults: Faults) -> Self {
+        Self {
+            rng: StdRng::seed_from_u64(seed),
+            now: 0,
+            epoch: 1,
+            step: 0,
+            ranks: vec![first_rank(); RANKS],
+            agents: (0..RANKS).map(|rank| Some(agent(rank, seed))).collect(),
+            frozen: vec![0; RANKS],
+            orders: Vec::new(),
+            statuses: Vec::new(),
+            counts: vec![vec![0; SHAPE.sets * SHAPE.experts]; RANKS],
+            stalled: 0,
+            longest_stall: 0,
+            changes: 0,
+            faults,
+        }
+    }
+
+    fn run(&mut self, ticks: u64) -> Result<(), String> {
+        for tick in 0..ticks {
+            self.now += TICK_MS;
+            self.break_things();
+            self.deliver();
+            for rank in 0..RANKS {
+                self.act(rank);
+            }
+            if tick % PASS_TICKS == 0 {
+                self.pass()?;
+            }
+        }
+        Ok(())
+    }
+
+    fn break_things(&mut self) {
+        let rank = self.rng.random_range(0..RANKS);
+        if self.rng.random_bool(self.faults.kill) {
+            self.agents[rank] = None;
+            self.frozen[rank] = self.now + self.rng.random_range(200..2_000);
+        }
+        if self.rng.random_bool(self.faults.freeze) {
+            self.frozen[rank] = self.now + self.rng.random_range(100..4_000);
+        }
+        if self.rng.random_bool(self.faults.crash) {
+            self.epoch += 1;
+            let top: Vec<u64> = self.ranks.iter().map(|rank| rank.top).collect();
+            self.ranks = vec![first_rank(); RANKS];
+            for (rank, top) in self.ranks.iter_mut().zip(top) {
+                rank.top = top;
+            }
+        }
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        let due: Vec<_> = self.orders.extract_if(.., |(at, ..)| *at <= now).collect();
+        for (_, rank, order) in due {
+            self.carry_out(rank, order);
+        }
+        let due: Vec<_> = self.statuses.extract_if(.., |(at, ..)| *at <= now).collect();
+        for (_, rank, status) in due {
+            if self.frozen[rank] <= now
+                && let Some(agent) = &mut self.agents[rank]
+            {
+                agent.hear(status, Millis::new(now));
+            }
+        }
+        for rank in &mut self.ranks {
+            if let Some((at, version, map)) = rank.copying.clone()
+                && at <= now
+            {
+                rank.prepared = Some((version, map));
+                rank.copying = None;
+            }
+        }
+    }
+
+    fn carry_out(&mut self, index: usize, order: Order) {
+        let step = self.step;
+        let now = self.now;
+        let epoch = self.epoch;
+        let rank = &mut self.ranks[index];
+        match order {
+            Order::Prepare { epoch: e, version, map } => {
+                let new = version > rank.top && rank.armed.is_none() && rank.copying.is_none();
+                if e == epoch && new {
+                    rank.top = version;
+                    rank.prepared = None;
+                    rank.copying = Some((now + COPY_MS, version, map));
+                }
+            }
+            Order::Arm { epoch: e, armed } => {
+                let prepared = rank.prepared.as_ref().is_some_and(|(v, _)| *v == armed.version);
+                if e == epoch && prepared && armed.step > step {
+                    rank.armed = Some(armed);
+                }
+            }
+            Order::Hold { epoch: e, step: held } => {
+                if e == epoch && held > step && rank.held.is_none() {
+                    rank.held = Some(held);
+                }
+            }
+            Order::Go { epoch: e, step: held } => {
+                if e == epoch && rank.held == Some(held) {
+                    rank.held = None;
+                }
+            }
+        }
+    }
+
+    fn act(&mut self, index: usize) {
+        if self.frozen[index] > self.now {
+            return;
+        }
+        let now = Millis::new(self.now);
+        if self.agents[index].is_none() {
+            let seed = self.rng.random();
+            self.agents[index] = Some(agent(index, seed));
+        }
+        for (expert, count) in self.counts[index].iter_mut().enumerate() {
+            let hot = (self.now / 3_000) as usize * 3 % SHAPE.experts;
+            let weight = if expert % SHAPE.experts == hot { 90_000 } else { 9_000 };
+            *count += weight;
+        }
+        for _ in 0..4 {
+            let report = self.report(index);
+            let counts = self.counts[index].clone();
+            let epoch = self.epoch;
+            let Some(agent) = &mut self.agents[index] else { return };
+            agent.observe(report, now);
+            agent.count(epoch, &counts, now);
+            let Some(order) = agent.order(now) else { break };
+            self.send(index, order);
+        }
+        self.tell(index, now);
+    }
+
+    fn send(&mut self, index: usize, order: Order) {
+        if self.rng.random_bool(self.faults.late) {
+            let at = self.now + self.rng.random_range(2_000..12_000);
+            self.orders.push((at, index, order));
+        } else {
+            self.carry_out(index, order);
+        }
+    }
+
+    fn tell(&mut self, index: usize, now: Millis) {
+        let Some(status) = self.agents[index].as_ref().and_then(|a| a.status(true, now)) else {
+            return;
+        };
+        for other in (0..RANKS).filter(|&other| other != index) {
+            if self.rng.random_bool(self.faults.lost) {
+                continue;
+            }
+            let mut status = status.clone();
+            let change = status.change.as_ref();
+            if let Some((step, change)) = change.and_then(|c| c.step.map(|s| (s, c)))
+                && self.faults.lie
+            {
+                status.report.armed = Some(Armed { version: change.version, step });
+            }
+            self.statuses.push((self.now + TICK_MS, other, status));
+        }
+    }
+
+    fn report(&self, index: usize) -> Report {
+        let rank = &self.ranks[index];
+        Report {
+            group: "g".into(),
+            epoch: self.epoch,
+            rank: index as u32,
+            size: RANKS as u32,
+            open: true,
+            busy: rank.copying.is_some(),
+            step: self.step,
+            map: rank.map.0,
+            prepared: rank.prepared.as_ref().map(|(version, _)| *version),
+            armed: rank.armed,
+            held: rank.held,
+            experts: rank.map.1.0.iter().map(|set| set[index].clone()).collect(),
+            active: 1,
+            queued: 0,
+        }
+    }
+
+    fn pass(&mut self) -> Result<(), String> {
+        let next = self.step + 1;
+        if self.ranks.iter().any(|rank| rank.held == Some(next)) {
+            self.stalled += 1;
+            self.longest_stall = self.longest_stall.max(self.stalled);
+            return Ok(());
+        }
+        self.stalled = 0;
+        self.step = next;
+        for rank in &mut self.ranks {
+            if rank.armed.is_some_and(|armed| armed.step == next) {
+                rank.armed = None;
+                if let Some(prepared) = rank.prepared.take() {
+                    rank.map = prepared;
+                }
+            }
+        }
+        let first = &self.ranks[0].map;
+        if self.ranks.iter().any(|rank| rank.map != *first) {
+            let versions: Vec<u64> = self.ranks.iter().map(|rank| rank.map.0).collect();
+            return Err(format!("pass {next} began with maps {versions:?} at {} ms", self.now));
+        }
+        self.changes = self.changes.max(first.0 >> 16);
+        Ok(())
+    }
+}
+
+fn first_map() -> Map {
+    let set = (0..RANKS).map(|rank| {
+        let experts = (0..SHAPE.experts as u16).filter(|e| usize::from(*e) % RANKS == rank);
+        experts.collect()
+    });
+    Map(vec![set.collect(); SHAPE.sets])
+}
+
+fn first_rank() -> Rank {
+    Rank { map: (0, first_map()), ..Rank::default() }
+}
+
+fn agent(rank: usize, seed: u64) -> Agent {
+    let address = SocketAddr::from(([10, 0, 0, rank as u8 + 1], 7_000));
+    let mut agent = Agent::new(address, seed.wrapping_add(rank as u64));
+    agent.set_shape(SHAPE);
+    agent
+}
+
+fn all_faults() -> Faults {
+    Faults { late: 0.3, lost: 0.1, kill: 0.002, freeze: 0.002, crash: 0.0005, lie: false }
+}
+
+#[rstest]
+#[case::calm(Faults::default())]
+#[case::late_orders(Faults { late: 0.35, ..Faults::default() })]
+#[case::lost_statuses(Faults { lost: 0.4, ..Faults::default() })]
+#[case::killed_agents(Faults { kill: 0.005, ..Faults::default() })]
+#[case::frozen_agents(Faults { freeze: 0.005, ..Faults::default() })]
+#[case::new_forms(Faults { crash: 0.003, late: 0.2, ..Faults::default() })]
+#[case::all(all_faults())]
+fn no_pass_begins_with_two_maps(#[case] faults: Faults) {
+    for seed in 0..20 {
+        let mut world = World::new(seed, faults);
+
+        let result = world.run(6_000);
+
+        assert_eq!(result, Ok(()), "seed {seed}");
+        assert!(world.changes > 3, "seed {seed}: {} changes in a minute", world.changes);
+    }
+}
+
+#[test]
+fn guard_over_all_ranks_is_needed() {
+    let faults = Faults { lie: true, ..all_faults() };
+
+    let broken = (0..20).filter(|&seed| World::new(seed, faults).run(6_000).is_err()).count();
+
+    assert!(broken > 0, "a coordinator that takes others' word for it was not caught");
+}
+
+#[test]
+fn calm_group_is_not_held_for_long() {
+    let mut world = World::new(7, Faults::default());
+
+    world.run(6_000).unwrap();
+
+    assert!(world.longest_stall <= 1, "held for {} passes in a row", world.longest_stall);
+}
+
+#[test]
+fn hold_of_a_killed_agent_is_resolved_by_its_successor() {
+    let mut world = World::new(3, Faults::default());
+    world.run(200).unwrap();
+    let step = world.step + 2;
+    let epoch = world.epoch;
+    world.carry_out(0, Order::Hold { epoch, step });
+    world.agents[0] = None;
+
+    world.run(300).unwrap();
+
+    assert!(world.step > step, "pass {} is still held", world.step);
+}
+
+#[rstest]
+#[case::one_hot(vec![900.0, 10.0, 10.0, 10.0, 10.0, 10.0, 10.0, 10.0])]
+#[case::two_hot(vec![300.0, 300.0, 40.0, 40.0, 20.0, 20.0, 10.0, 10.0])]
+#[case::even(vec![10.0; 8])]
+fn plan_keeps_its_bounds_and_is_never_worse(#[case] load: Vec<f64>) {
+    let present = first_map();
+
+    let plan = even::plan(&vec![load; SHAPE.sets], &present, &SHAPE.bounds);
+
+    assert!(plan.after <= plan.before);
+    assert!(plan.after >= plan.bound - 1e-9);
+    assert!(plan.copies <= SHAPE.bounds.new_total);
+    for (set, old) in plan.map.0.iter().zip(&present.0) {
+        for (experts, old) in set.iter().zip(old) {
+            assert!(experts.len() <= SHAPE.bounds.places);
+            let new = experts.iter().filter(|expert| !old.contains(expert)).count();
+            assert!(new <= SHAPE.bounds.new);
+        }
+        for expert in 0..SHAPE.experts as u16 {
+            assert!(set.iter().flatten().any(|held| *held == expert), "expert {expert} is lost");
+        }
+    }
+}
+
+#[test]
+fn plans_come_near_the_bound_where_one_expert_is_hot() {
+    let shape = Bounds { places: 5, new: 2, new_total: 8 };
+    let mut load = vec![100.0; 64];
+    load[4] = 1_800.0;
+    load[41] = 800.0;
+    load[40] = 500.0;
+    let set: Vec<Vec<u16>> =
+        (0..16).map(|rank| (0..64).filter(|expert| expert % 16 == rank).collect()).collect();
+
+    let first = even::plan(&[load.clone()], &Map(vec![set]), &shape);
+    let second = even::plan(&[load], &first.map, &shape);
+
+    assert!(first.before / first.bound > 3.0, "map 0 is not uneven: {first:?}");
+    assert!(first.after / first.bound < 1.25, "{} over the bound", first.after / first.bound);
+    assert!(second.after / second.bound < 1.15, "{} over the bound", second.after / second.bound);
+}
--- a/crates/agateflowd/src/direct/edge.rs
+++ b/crates/agateflowd/src/direct/edge.rs
@@ -32,8 +32,6 @@
     pub team: Option<&'a id::Team>,
     /// Last event of the stream that the caller has.
     pub last_event: Option<u64>,
-    /// Rank among requests, 0 first.
-    pub priority: u8,
 }
 
 /// What an upstream's answer is.
--- a/crates/agateflowd/src/direct/flow.rs
+++ b/crates/agateflowd/src/direct/flow.rs
@@ -184,7 +184,8 @@
     /// Decides what follows from the end of an attempt.
     pub fn decide(&mut self, end: End) -> Step {
         let now = self.entry.now();
-        let time = now + LEAST_TIME < self.request.deadline;
+        let poison = self.entry.suspects.borrow().is_poison(self.request.fingerprint, now);
+        let time = !poison && now + LEAST_TIME < self.request.deadline;
         let mut trial = self.record;
         let wants_retry = end != End::Unsent && trial.end(end, true, time) == Step::Again;
         let budget = wants_retry && self.entry.take_retry(&self.request.service);
@@ -274,7 +275,6 @@
             time: self.request.deadline.saturating_sub(now),
             team: self.request.team.as_ref(),
             last_event: self.last_event,
-            priority: self.request.priority,
         };
         self.entry.dialect.forward(message.headers_mut(), &forward);
         Ok(message)
--- a/crates/agateflowd/src/direct/place.rs
+++ b/crates/agateflowd/src/direct/place.rs
@@ -174,10 +174,10 @@
     /// A rank of `service` refused a request, though by the count of its requests it had room.
     pub fn refused_with_room(&self, service: &id::Service) {
         let now = self.now();
-        if let Some(service) = self.services.borrow_mut().get_mut(service) {
-            if service.pace.is_some() {
-                service.outage.refuse(now);
-            }
+        if let Some(service) = self.services.borrow_mut().get_mut(service)
+            && service.pace.is_some()
+        {
+            service.outage.refuse(now);
         }
     }
 
@@ -279,7 +279,9 @@
             let Some(place) = place else { return };
             let grant = self.grant(service, ticket, now);
             // A caller that left meanwhile gives the place back, which looks for the next one.
-            if let Some(Err(unused)) = grant.map(|grant| grant.send(place)) {
+            if let Some(grant) = grant
+                && let Err(unused) = grant.send(place)
+            {
                 drop(unused);
                 return;
             }
