Count decisions, serve the metrics of rank agents, and explain a request from its logs

Cause: on-call engineers have logs and metrics only. Change: counters of attempts, refusals, orders and map changes, the time until a request is sent; agatectl explain joins the lines of one id and marks the deciding one.

--- a/crates/agatectl/src/cli.rs
+++ b/crates/agatectl/src/cli.rs
@@ -5,7 +5,7 @@
 
 use crate::error::Error;
 use crate::exit_codes::ExitCode;
-use crate::{check, demo, load, measure, output, plan, status};
+use crate::{check, demo, explain, load, measure, output, plan, status};
 
 /// Builds the command line.
 pub fn command() -> Command {
@@ -20,6 +20,7 @@
         .subcommand(load::command())
         .subcommand(measure::command())
         .subcommand(status::command())
+        .subcommand(explain::command())
         .subcommand(completions())
 }
 
@@ -42,6 +43,7 @@
         Some(("load", matches)) => load::run(matches),
         Some(("measure", matches)) => measure::run(matches),
         Some(("status", matches)) => status::run(matches),
+        Some(("explain", matches)) => explain::run(matches),
         Some(("completions", matches)) => print_completions(matches),
         _ => Ok(ExitCode::Usage),
     }
--- a/crates/agatectl/src/main.rs
+++ b/crates/agatectl/src/main.rs
@@ -5,6 +5,7 @@
 mod demo;
 mod error;
 mod exit_codes;
+mod explain;
 mod load;
 mod measure;
 mod output;
--- a/crates/agateflow/src/direct/attempt.rs
+++ b/crates/agateflow/src/direct/attempt.rs
@@ -19,6 +19,20 @@
     Silent,
 }
 
+impl End {
+    /// The end as a label of metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            End::Unsent => "unsent",
+            End::Misdirected => "misdirected",
+            End::NotRun => "not-run",
+            End::Failed => "failed",
+            End::Broken => "broken",
+            End::Silent => "silent",
+        }
+    }
+}
+
 /// What to do next.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Step {
--- a/crates/agateflowd/src/direct/flow.rs
+++ b/crates/agateflowd/src/direct/flow.rs
@@ -24,7 +24,7 @@
 use super::request::{self, Request};
 use super::{Entry, stream};
 use crate::event;
-use crate::meter::{Class, Meter};
+use crate::meter::{self, Class, Meter};
 
 /// Time without an answer after which a request that may be repeated goes elsewhere, as a multiple
 /// of its objective.
@@ -190,6 +190,7 @@
         let wants_retry = end != End::Unsent && trial.end(end, true, time) == Step::Again;
         let budget = wants_retry && self.entry.take_retry(&self.request.service);
         let step = self.record.end(end, budget, time);
+        meter::attempted(&self.request.service, end.as_str());
         event!(self.entry.logger, Event::AttemptEnded; "id" => &*self.request.ask.id,
             "end" => ?end, "sent" => self.record.sent(), "attempts" => self.request.route.attempts,
             "budget" => budget, "left" => %self.request.deadline.saturating_sub(now),
@@ -211,13 +212,14 @@
         let mut channel = channel.map_err(|error| self.unsent(&upstream, &error, false))?;
         let send = self.message(&upstream)?;
         let reused = channel.is_reused();
+        let waited = self.entry.now().saturating_sub(self.request.arrived);
+        meter::placed(&self.request.service, waited.duration());
         event!(self.entry.logger, Event::RequestSent; "id" => &*self.request.ask.id,
             "upstream" => %upstream.vm, "service" => %self.request.service,
             "active" => place.active, "fullest" => place.fullest, "limit" => place.limit, "factor" => place.factor,
             "version" => self.request.table.version(),
             "directory" => self.entry.directory.borrow().revision(),
-            "waited" => %self.entry.now().saturating_sub(self.request.arrived),
-            "reused" => reused);
+            "waited" => %waited, "reused" => reused);
         self.in_flight.set(true);
         let answer = self.await_head(&mut channel, send).await;
         let response = match answer {
@@ -417,6 +419,7 @@
     }
 
     fn refuse(&mut self, reason: &str, again: unit::Millis) -> Response<Body> {
+        meter::refused(&self.request.service, reason);
         event!(self.entry.logger, Event::RequestRefused; "id" => &*self.request.ask.id,
             "service" => %self.request.service, "reason" => reason, "retry_after" => %again,
             "waited" => %self.entry.now().saturating_sub(self.request.arrived));
--- a/crates/agateflowd/src/direct/page.rs
+++ b/crates/agateflowd/src/direct/page.rs
@@ -52,20 +52,34 @@
     Time(SocketAddr),
 }
 
-/// Serves a page to all that connect.
+/// Serves a page of an entry to all that connect.
 pub async fn serve(entry: Rc<Entry>, listener: TcpListener, page: Page) {
+    let logger = entry.logger.clone();
+    serve_with(&logger, listener, move || answer(&entry, page)).await;
+}
+
+/// Serves the metrics of the process to all that connect.
+pub async fn serve_metrics(logger: slog::Logger, listener: TcpListener) {
+    serve_with(&logger, listener, metrics).await;
+}
+
+async fn serve_with(
+    logger: &slog::Logger,
+    listener: TcpListener,
+    answer: impl Fn() -> Response<Full<Bytes>> + Clone + 'static,
+) {
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
             Err(error) => {
-                event!(entry.logger, Event::AcceptFailed; "reason" => %error);
+                event!(logger, Event::AcceptFailed; "reason" => %error);
                 time::sleep(Duration::from_millis(50)).await;
                 continue;
             }
         };
-        let entry = entry.clone();
+        let answer = answer.clone();
         let service = service_fn(move |_: Request<Incoming>| {
-            let answer = answer(&entry, page);
+            let answer = answer();
             async move { Ok::<_, Infallible>(answer) }
         });
         let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
@@ -75,19 +89,26 @@
 }
 
 fn answer(entry: &Entry, page: Page) -> Response<Full<Bytes>> {
-    let (status, text) = match page {
-        Page::Ready if entry.is_ready() => (StatusCode::OK, Bytes::from_static(b"ready\n")),
-        Page::Ready => (StatusCode::SERVICE_UNAVAILABLE, Bytes::from_static(b"not ready\n")),
-        Page::Metrics => (StatusCode::OK, meter::recorder().render().into()),
+    match page {
+        Page::Ready if entry.is_ready() => respond(StatusCode::OK, "ready\n"),
+        Page::Ready => respond(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+        Page::Metrics => metrics(),
         Page::Snapshot => match postcard::to_stdvec(&entry.snapshot()) {
-            Ok(bytes) => (StatusCode::OK, bytes.into()),
+            Ok(bytes) => respond(StatusCode::OK, bytes),
             Err(error) => {
                 event!(entry.logger, Event::PeerUnreadable; "reason" => %error);
-                (StatusCode::INTERNAL_SERVER_ERROR, Bytes::new())
+                respond(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new())
             }
         },
-    };
-    let mut response = Response::new(Full::new(text));
+    }
+}
+
+fn metrics() -> Response<Full<Bytes>> {
+    respond(StatusCode::OK, meter::recorder().render())
+}
+
+fn respond(status: StatusCode, body: impl Into<Bytes>) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(body.into()));
     *response.status_mut() = status;
     response
 }
--- a/crates/agateflowd/src/direct/rank.rs
+++ b/crates/agateflowd/src/direct/rank.rs
@@ -12,11 +12,12 @@
 use indexmap::IndexSet;
 use tokio::net::UdpSocket;
 use tokio::signal::unix;
-use tokio::time;
+use tokio::{task, time};
 
 use super::edge::{Rank, Receipt};
+use super::{page, socket};
 use crate::error::Error;
-use crate::event;
+use crate::{event, meter};
 
 /// Time between two looks at the rank.
 const INTERVAL: Duration = Duration::from_millis(50);
@@ -81,6 +82,11 @@
 pub async fn run<R: Rank>(options: Options, rank: R, logger: slog::Logger) -> Result<(), Error> {
     let socket = UdpSocket::bind(options.peers).await;
     let socket = socket.map_err(|error| Error::Bind(options.peers, error))?;
+    if let Some(address) = options.metrics {
+        let listener = socket::listen(address).map_err(|error| Error::Bind(address, error))?;
+        task::spawn_local(page::serve_metrics(logger.clone(), listener));
+        task::spawn_local(meter::upkeep());
+    }
     let mut terminate = unix::signal(unix::SignalKind::terminate()).map_err(Error::Signal)?;
     let mut interrupt = unix::signal(unix::SignalKind::interrupt()).map_err(Error::Signal)?;
     // Nothing of the settings may change while the process runs.
@@ -216,6 +222,12 @@
             Order::Hold { epoch, step } => ("hold", epoch, None, Some(*step)),
             Order::Go { epoch, step } => ("go", epoch, None, Some(*step)),
         };
+        let result = match receipt {
+            Ok(Receipt::Taken) => "taken",
+            Ok(Receipt::Refused(_)) => "refused",
+            Err(_) => "unanswered",
+        };
+        meter::ordered(name, result);
         event!(self.logger, Event::RankOrdered; "order" => name, "epoch" => epoch,
             "version" => version, "step" => step, "receipt" => ?receipt);
     }
@@ -229,6 +241,7 @@
                         "copies" => copies);
                 }
                 Note::Done { version } => {
+                    meter::map_changed();
                     event!(self.logger, Event::MapInUse; "version" => version);
                 }
                 Note::Orphan { step } => event!(self.logger, Event::HoldFound; "step" => step),
--- a/crates/agateflowd/src/direct/run.rs
+++ b/crates/agateflowd/src/direct/run.rs
@@ -13,7 +13,7 @@
 use super::page::{self, Page};
 use super::{Entry, follow, gossip, server, socket};
 use crate::error::Error;
-use crate::event;
+use crate::{event, meter};
 
 /// Time for which new connections are taken after the signal to end: the balancer needs it to
 /// notice that the entry is not ready.
@@ -36,6 +36,7 @@
     let callers = socket::listen(options.callers).map_err(bind)?;
     let (close, closed) = watch::channel(false);
     pages(&entry)?;
+    task::spawn_local(meter::upkeep());
     gossip(&entry).await?;
     task::spawn_local(follow::run(entry.clone()));
     task::spawn_local(follow::tick(entry.clone()));
--- a/crates/agateflowd/src/meter.rs
+++ b/crates/agateflowd/src/meter.rs
@@ -23,6 +23,21 @@
 /// Requests by outcome.
 const REQUESTS: &str = "agateflow_requests_total";
 
+/// Attempts of requests by how they ended.
+const ATTEMPTS: &str = "agateflow_attempts_total";
+
+/// Requests refused, by reason.
+const REFUSALS: &str = "agateflow_refusals_total";
+
+/// Time that a request waited before it was sent, in seconds.
+const PLACE: &str = "agateflow_place_seconds";
+
+/// Orders to a rank by kind and result.
+const ORDERS: &str = "agateflow_rank_orders_total";
+
+/// Expert maps that came into use.
+const MAPS: &str = "agateflow_map_changes_total";
+
 /// Upper bounds of the histograms' buckets, in seconds; the targets are among them.
 const BUCKETS: [f64; 18] = [
     0.001, 0.0025, 0.005, 0.01, 0.02, 0.035, 0.051, 0.075, 0.1, 0.15, 0.2, 0.31, 0.5, 1.0, 2.5,
@@ -84,6 +99,32 @@
     histogram!(QUEUE, "team" => team.to_string()).record(waited);
 }
 
+/// Counts an attempt that ended without an answer for the caller.
+pub fn attempted(service: &id::Service, end: &'static str) {
+    counter!(ATTEMPTS, "service" => service.to_string(), "end" => end).increment(1);
+}
+
+/// Counts a refused request.
+pub fn refused(service: &id::Service, reason: &str) {
+    let reason = reason.to_string();
+    counter!(REFUSALS, "service" => service.to_string(), "reason" => reason).increment(1);
+}
+
+/// Records the time from a request's arrival to its sending.
+pub fn placed(service: &id::Service, waited: Duration) {
+    histogram!(PLACE, "service" => service.to_string()).record(waited);
+}
+
+/// Counts an order to a rank.
+pub fn ordered(order: &'static str, result: &'static str) {
+    counter!(ORDERS, "order" => order, "result" => result).increment(1);
+}
+
+/// Counts an expert map that came into use.
+pub fn map_changed() {
+    counter!(MAPS).increment(1);
+}
+
 /// Observes one request.
 pub struct Meter {
     team: Box<str>,
