--- a/crates/agateflow/src/direct/outage.rs
+++ b/crates/agateflow/src/direct/outage.rs
@@ -1,9 +1,13 @@
 //! Times in which the group of ranks behind a service is closed.
 //!
-//! The registry tells of them, and so do ranks that refuse requests although they have room. How
+//! The registry tells of them, and so do ranks that refuse requests although they have room, or
+//! several ranks that cannot be reached while none answers. How
 //! long one lasts is not known; it is taken to last as long again as it has lasted.
 
-use crate::unit;
+use crate::{id, unit};
+
+/// Time within which a second rank that cannot be reached shows that it is not the rank.
+const UNREACHABLE_LIFE: unit::Millis = unit::Millis::new(1_500);
 
 /// Shortest time after which callers are asked to come back.
 const MIN_RETRY: unit::Millis = unit::Millis::new(1_500);
@@ -15,10 +19,11 @@
 const REFUSAL_LIFE: unit::Millis = unit::Millis::new(400);
 
 /// What is known of one service's group.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Outage {
     since: Option<unit::Millis>,
     refused: Option<unit::Millis>,
+    unreachable: Option<(id::Vm, unit::Millis)>,
 }
 
 impl Outage {
@@ -33,10 +38,21 @@
         self.refused = Some(now);
     }
 
+    /// A rank could not be reached. A second one, with no answer between, closes the service.
+    pub fn miss(&mut self, rank: &id::Vm, now: unit::Millis) {
+        let other = self
+            .unreachable
+            .as_ref()
+            .is_some_and(|(vm, at)| vm != rank && now < *at + UNREACHABLE_LIFE);
+        if other {
+            self.refuse(now);
+        }
+        self.unreachable = Some((rank.clone(), now));
+    }
+
     /// A rank answered.
-    pub const fn end(&mut self) {
-        self.since = None;
-        self.refused = None;
+    pub fn end(&mut self) {
+        *self = Self::default();
     }
 
     /// Whether requests are better not sent now, by what ranks refused.
--- a/crates/agateflow/tests/direct.rs
+++ b/crates/agateflow/tests/direct.rs
@@ -409,6 +409,24 @@
     assert!(!outage.is_refusing(ms(3_500)));
 }
 
+#[test]
+fn two_ranks_that_cannot_be_reached_close_the_service_unless_one_answers_between() {
+    let mut cut_off = Outage::default();
+    let mut lossy = Outage::default();
+
+    cut_off.miss(&vm("a"), ms(0));
+    cut_off.miss(&vm("a"), ms(400));
+    let by_one = cut_off.is_refusing(ms(401));
+    cut_off.miss(&vm("b"), ms(800));
+    lossy.miss(&vm("a"), ms(0));
+    lossy.end();
+    lossy.miss(&vm("b"), ms(400));
+
+    assert!(!by_one, "one rank may be at fault itself");
+    assert!(cut_off.is_refusing(ms(801)));
+    assert!(!lossy.is_refusing(ms(401)));
+}
+
 #[test]
 fn request_that_crashed_three_upstreams_is_refused_until_it_runs_well() {
     let request = Fingerprint::new("t", "POST", "/a", b"body");
--- a/crates/agateflowd/src/direct/flow.rs
+++ b/crates/agateflowd/src/direct/flow.rs
@@ -341,6 +341,7 @@
         if reused {
             return Stop::Ended(End::Unsent);
         }
+        self.entry.missed(&self.request.service, &upstream.vm);
         self.ended(upstream, End::Unsent, Health::Unreachable)
     }
 
--- a/crates/agateflowd/src/direct/place.rs
+++ b/crates/agateflowd/src/direct/place.rs
@@ -181,6 +181,16 @@
         }
     }
 
+    /// A rank of `service` could not be reached.
+    pub fn missed(&self, service: &id::Service, rank: &id::Vm) {
+        let now = self.now();
+        if let Some(service) = self.services.borrow_mut().get_mut(service)
+            && service.pace.is_some()
+        {
+            service.outage.miss(rank, now);
+        }
+    }
+
     async fn wait(self: &Rc<Self>, wish: &Wish) -> Result<Place, Refusal> {
         let now = self.now();
         let (grant, granted) = oneshot::channel();
