--- a/crates/agateflow/src/direct/config.rs
+++ b/crates/agateflow/src/direct/config.rs
@@ -92,41 +92,24 @@
 pub struct Engine {
     /// Requests that run at once.
     pub slots: u32,
-    /// Tokens that the memory holds.
-    pub memory: unit::Tokens,
     /// Steps of a pass, and so tokens of an event.
     pub stride: u32,
     /// Time of a step, in milliseconds.
     pub step_ms: f64,
     /// Time that each writing request adds to a step, in milliseconds.
     pub request_ms: f64,
-    /// Prompt tokens read a millisecond.
-    pub read_per_ms: f64,
-    /// Most prompt tokens read in a step.
-    pub chunk: u32,
-    /// Mean tokens of an answer.
-    pub usual_answer: f64,
     /// Time after which a closed group of ranks opens again.
     pub form: unit::Millis,
     /// Experts of a group of ranks that pass in lock-step.
     pub shape: Option<agent::Shape>,
 }
 
-impl Engine {
-    /// Time of a pass of a rank with `writers` requests, in milliseconds, were its experts even.
-    pub fn pass_ms(&self, writers: f64) -> f64 {
-        f64::from(self.stride) * (self.step_ms + self.request_ms * writers)
-    }
-}
-
 /// A service of upstreams.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Service {
     /// Its name.
     pub name: id::Service,
-    /// Connections that an upstream takes from all entries together.
-    pub connections: u32,
     /// Cost model, where its upstreams are engines.
     pub engine: Option<Engine>,
 }
--- a/crates/agateflow/tests/direct.rs
+++ b/crates/agateflow/tests/direct.rs
@@ -18,7 +18,7 @@
 use agateflow::direct::queue::{Item, Queue};
 use agateflow::direct::suspect::{Crash, Fingerprint, Lifetime, Register};
 use agateflow::id;
-use agateflow::unit::{Bytes, Micros, Millis, Tokens};
+use agateflow::unit::{Bytes, Micros, Millis};
 use indexmap::IndexMap;
 use proptest::prelude::*;
 use rand::SeedableRng;
@@ -68,25 +68,14 @@
 }
 
 fn engine() -> Engine {
-    Engine {
-        slots: 12,
-        memory: Tokens::new(280_000),
-        stride: 4,
-        step_ms: 4.5,
-        request_ms: 0.9,
-        read_per_ms: 61.0,
-        chunk: 512,
-        usual_answer: 97.0,
-        form: ms(600),
-        shape: None,
-    }
+    Engine { slots: 12, stride: 4, step_ms: 4.5, request_ms: 0.9, form: ms(600), shape: None }
 }
 
 fn config(routes: Vec<Route>) -> Config {
     Config {
         version: 7,
         routes,
-        services: vec![Service { name: service("s"), connections: 100, engine: Some(engine()) }],
+        services: vec![Service { name: service("s"), engine: Some(engine()) }],
         teams: vec![Team {
             name: id::Team::new("t").unwrap(),
             keys: ["key".into(), "old".into()].into(),
@@ -532,5 +521,5 @@
     let table = Table::new(config(vec![]));
 
     assert_eq!(table.limits().body, Bytes::new(1_000));
-    assert_eq!(table.service(&service("s")).unwrap().connections, 100);
+    assert_eq!(table.service(&service("s")).unwrap().engine, Some(engine()));
 }
--- a/crates/agateflowd/src/direct/edge.rs
+++ b/crates/agateflowd/src/direct/edge.rs
@@ -13,10 +13,6 @@
     pub key: Option<Box<str>>,
     /// Time for which the caller waits.
     pub time: Option<unit::Millis>,
-    /// Tokens of the prompt.
-    pub prompt: unit::Tokens,
-    /// Most tokens of the answer.
-    pub answer: unit::Tokens,
     /// Last event of the stream that the caller has.
     pub last_event: Option<u64>,
 }
--- a/crates/agateflowd/src/direct/entry.rs
+++ b/crates/agateflowd/src/direct/entry.rs
@@ -42,8 +42,6 @@
     pub seeds: Vec<SocketAddr>,
     /// Bounds of retries.
     pub retries: budget::Bounds,
-    /// Time for which upstreams take requests after they began to leave.
-    pub drain: unit::Millis,
     /// Time from the signal to end until the process is killed.
     pub grace: unit::Millis,
 }
--- a/crates/agateflowd/tests/direct.rs
+++ b/crates/agateflowd/tests/direct.rs
@@ -13,7 +13,7 @@
 use agateflow::direct::config::{Config, Kind, Limits, Route, Service, Target, Team};
 use agateflow::direct::directory::{Change, State, Upstream};
 use agateflow::id;
-use agateflow::unit::{Bytes, Millis, Tokens};
+use agateflow::unit::{Bytes, Millis};
 use agateflowd::direct::edge::{Answer, Ask, Dialect, Forward};
 use agateflowd::direct::entry::Options;
 use agateflowd::direct::{Entry, server, socket};
@@ -39,8 +39,6 @@
             id: text(&head.headers, "id").unwrap_or_default().into(),
             key: text(&head.headers, "key").map(Into::into),
             time: text(&head.headers, "time").and_then(|t| t.parse().ok()).map(Millis::new),
-            prompt: Tokens::ZERO,
-            answer: Tokens::ZERO,
             last_event: None,
         }
     }
@@ -176,11 +174,7 @@
             Route { attempts: 1, ..route("/once/", Kind::Once) },
             route("/stream/", Kind::ResumableStream),
         ],
-        services: vec![Service {
-            name: id::Service::new("s").unwrap(),
-            connections: 100,
-            engine: None,
-        }],
+        services: vec![Service { name: id::Service::new("s").unwrap(), engine: None }],
         teams: vec![Team {
             name: id::Team::new("t").unwrap(),
             keys: ["k".into()].into(),
@@ -206,7 +200,6 @@
         metrics: None,
         seeds: Vec::new(),
         retries: Bounds { ratio: 0.2, window: Millis::new(10_000), extra: 94.0 },
-        drain: Millis::new(2_000),
         grace: Millis::new(8_000),
     }
 }
