--- a/crates/agateflow/src/lockstep/agent.rs
+++ b/crates/agateflow/src/lockstep/agent.rs
@@ -14,7 +14,7 @@
 const STATUS_LIFE: unit::Millis = unit::Millis::new(1_500);
 
 /// Age at which a report no longer allows a first step of a change.
-const REPORT_LIFE: unit::Millis = unit::Millis::new(1_000);
+pub(super) const REPORT_LIFE: unit::Millis = unit::Millis::new(1_000);
 
 /// Time after which an order without effect is given again.
 const ORDER_RETRY: unit::Millis = unit::Millis::new(10);
@@ -22,31 +22,12 @@
 /// The same for the order to copy experts, which takes long.
 const PREPARE_RETRY: unit::Millis = unit::Millis::new(100);
 
-/// Time between the end of a change and the next one.
-const CHANGE_PAUSE: unit::Millis = unit::Millis::new(50);
-
-/// Passes between the last one begun and the one that is held.
-const HOLD_LEAD: u64 = 1;
-
-/// The same while orders get lost: arming all ranks then takes more than a pass.
-const LOSSY_HOLD_LEAD: u64 = 3;
-
 /// Time to arm all ranks above which orders count as lost.
 const ARM_TIME: unit::Millis = unit::Millis::new(25);
 
 /// Time after a lost order for which more are expected.
 const LOSSY_TIME: unit::Millis = unit::Millis::new(8_000);
 
-/// Part of the most loaded ranks' load that a change must save.
-const LEAST_SAVING: f64 = 0.08;
-
-/// Least demand on which a plan is made.
-const LEAST_DEMAND: f64 = 100_000.0;
-
-/// Bits of a version below the counter: two coordinators that know the same versions choose
-/// different ones.
-const VERSION_BITS: u32 = 16;
-
 /// Experts of a group.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -60,10 +41,10 @@
 }
 
 #[derive(Clone, Debug)]
-struct Known {
-    status: Status,
-    heard: unit::Millis,
-    demand: Vec<u32>,
+pub(super) struct Known {
+    pub(super) status: Status,
+    pub(super) heard: unit::Millis,
+    pub(super) demand: Vec<u32>,
 }
 
 /// What the agent is doing, for logs.
@@ -98,19 +79,19 @@
 #[derive(Clone, Debug)]
 pub struct Agent {
     address: SocketAddr,
-    shape: Option<Shape>,
-    report: Option<(Report, unit::Millis)>,
-    others: IndexMap<u32, Known>,
-    demand: Demand,
-    change: Option<Change>,
-    hold: Option<u64>,
-    held_at: unit::Millis,
-    lossy_until: unit::Millis,
+    pub(super) shape: Option<Shape>,
+    pub(super) report: Option<(Report, unit::Millis)>,
+    pub(super) others: IndexMap<u32, Known>,
+    pub(super) demand: Demand,
+    pub(super) change: Option<Change>,
+    pub(super) hold: Option<u64>,
+    pub(super) held_at: unit::Millis,
+    pub(super) lossy_until: unit::Millis,
     ordered: Option<(Order, unit::Millis)>,
-    ended: unit::Millis,
-    top: u64,
-    seed: u64,
-    notes: Vec<Note>,
+    pub(super) ended: unit::Millis,
+    pub(super) top: u64,
+    pub(super) seed: u64,
+    pub(super) notes: Vec<Note>,
 }
 
 impl Agent {
@@ -322,7 +303,7 @@
     }
 
     /// Reports of all ranks in the group's present form, or nothing if one is missing.
-    fn all<'a>(&'a self, own: &'a Report) -> Option<Vec<(&'a Report, unit::Millis)>> {
+    pub(super) fn all<'a>(&'a self, own: &'a Report) -> Option<Vec<(&'a Report, unit::Millis)>> {
         let own_heard = self.report.as_ref().map(|(_, at)| *at)?;
         let others = self.others.values().filter(|known| known.status.report.epoch == own.epoch);
         let others = others.map(|known| (&known.status.report, known.heard));
@@ -331,7 +312,7 @@
     }
 
     /// The version that all ranks have prepared and none uses yet.
-    fn prepared_by_all(reports: &[(&Report, unit::Millis)]) -> Option<u64> {
+    pub(super) fn prepared_by_all(reports: &[(&Report, unit::Millis)]) -> Option<u64> {
         let version = reports.first()?.0.prepared?;
         let all = reports.iter().all(|(r, _)| r.prepared == Some(version) && r.map < version);
         all.then_some(version)
@@ -358,102 +339,4 @@
         self.change = Some(Change { epoch: own.epoch, version, map, step: Some(step) });
         self.ended = now;
     }
-
-    fn coordinate(&mut self, own: &Report, now: unit::Millis) {
-        let Some(change) = &self.change else {
-            self.begin(own, now);
-            return;
-        };
-        if change.step.is_some() {
-            return;
-        }
-        let version = change.version;
-        let Some(reports) = self.all(own) else { return };
-        let fresh = reports.iter().all(|(_, heard)| now < *heard + REPORT_LIFE);
-        if !fresh || Self::prepared_by_all(&reports) != Some(version) {
-            return;
-        }
-        let step = reports.iter().map(|(report, _)| report.step).max().unwrap_or(0);
-        let lead = if now < self.lossy_until { LOSSY_HOLD_LEAD } else { HOLD_LEAD };
-        match self.hold {
-            Some(hold) if own.held == Some(hold) => {
-                self.held_at = now;
-                if let Some(change) = &mut self.change {
-                    change.step = Some(hold);
-                }
-            }
-            // The pass began before the hold was in force.
-            Some(hold) if step >= hold => self.hold = Some(step + lead),
-            Some(_) => {}
-            None if own.held.is_none() => self.hold = Some(step + lead),
-            None => {}
-        }
-    }
-
-    fn begin(&mut self, own: &Report, now: unit::Millis) {
-        if now < self.ended + CHANGE_PAUSE || own.held.is_some() || own.armed.is_some() {
-            return;
-        }
-        let Some(shape) = self.shape else { return };
-        let Some(reports) = self.all(own) else { return };
-        let Some(present) = Self::present(&reports, &shape) else { return };
-        let fresh = reports.iter().all(|(_, heard)| now < *heard + REPORT_LIFE);
-        let even = reports.iter().all(|(r, _)| r.map == own.map && r.armed.is_none() && !r.busy);
-        let stepped = reports.iter().all(|(report, _)| report.held.is_none());
-        if !fresh || !even || !stepped {
-            return;
-        }
-        let load = self.load(&shape);
-        if load.iter().flatten().sum::<f64>() < LEAST_DEMAND {
-            return;
-        }
-        let plan = even::plan(&load, &present, &shape.bounds);
-        self.ended = now;
-        if plan.after > plan.before * (1.0 - LEAST_SAVING) {
-            return;
-        }
-        let version = self.version();
-        self.notes.push(Note::Planned {
-            version,
-            before: plan.before,
-            after: plan.after,
-            bound: plan.bound,
-            copies: plan.copies,
-        });
-        self.change = Some(Change { epoch: own.epoch, version, map: plan.map, step: None });
-    }
-
-    /// The map in use, put together from what the ranks hold.
-    fn present(reports: &[(&Report, unit::Millis)], shape: &Shape) -> Option<Map> {
-        let mut map = vec![vec![Vec::new(); reports.len()]; shape.sets];
-        for (report, _) in reports {
-            if report.experts.len() != shape.sets {
-                return None;
-            }
-            for (set, experts) in map.iter_mut().zip(&report.experts) {
-                *set.get_mut(report.rank as usize)? = experts.clone();
-            }
-        }
-        Some(Map(map))
-    }
-
-    /// Demand of all ranks, by set and expert.
-    fn load(&self, shape: &Shape) -> Vec<Vec<f64>> {
-        let mut sum = vec![0.0; shape.sets * shape.experts];
-        let others = self.others.values().map(|known| known.demand.clone());
-        for demand in others.chain([self.demand.load()]) {
-            for (sum, part) in sum.iter_mut().zip(demand) {
-                *sum += f64::from(part);
-            }
-        }
-        sum.chunks(shape.experts.max(1)).map(<[f64]>::to_vec).collect()
-    }
-
-    fn version(&mut self) -> u64 {
-        self.seed = self.seed.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
-        let low = self.seed >> (u64::BITS - VERSION_BITS);
-        let version = (((self.top >> VERSION_BITS) + 1) << VERSION_BITS) | low;
-        self.top = version;
-        version
-    }
 }
--- a/crates/agateflow/src/lockstep/mod.rs
+++ b/crates/agateflow/src/lockstep/mod.rs
@@ -14,6 +14,7 @@
 //! stopped.
 
 pub mod agent;
+mod coordinator;
 pub mod demand;
 pub mod even;
 pub mod report;
--- a/crates/agateflowd/src/direct/mod.rs
+++ b/crates/agateflowd/src/direct/mod.rs
@@ -15,6 +15,7 @@
 pub mod reply;
 pub mod request;
 pub mod run;
+pub mod send;
 pub mod server;
 pub mod socket;
 pub mod stream;
--- a/crates/agateflowd/src/direct/stream.rs
+++ b/crates/agateflowd/src/direct/stream.rs
@@ -16,10 +16,11 @@
 use tokio::time;
 
 use super::channel::Channel;
-use super::flow::{Begun, Call, SILENT_STREAM, Stop};
+use super::flow::Call;
 use super::place::Place;
 use super::reply::{Body, Cut};
 use super::request;
+use super::send::{Begun, SILENT_STREAM, Stop};
 use crate::event;
 
 /// What came of waiting for a part of a stream.
