--- a/crates/agateflow/src/lockstep/coordinator.rs
+++ b/crates/agateflow/src/lockstep/coordinator.rs
@@ -12,6 +12,10 @@
 /// Passes between the last one begun and the one that is held.
 const HOLD_LEAD: u64 = 1;
 
+/// Age of an agent's status up to which it is trusted to arm its rank at once. A pass that is held
+/// for an agent that stopped leaves callers waiting until it is back.
+const ALERT_LIFE: unit::Millis = unit::Millis::new(150);
+
 /// The same while orders get lost: arming all ranks then takes more than a pass.
 const LOSSY_HOLD_LEAD: u64 = 3;
 
@@ -36,8 +40,11 @@
         }
         let version = change.version;
         let Some(reports) = self.all(own) else { return };
-        let fresh = reports.iter().all(|(_, heard)| now < *heard + REPORT_LIFE);
-        if !fresh || Self::prepared_by_all(&reports) != Some(version) {
+        let alert = reports.iter().all(|(_, heard)| now < *heard + ALERT_LIFE);
+        let holds = own.held.is_some() && own.held == self.hold;
+        if Self::prepared_by_all(&reports) != Some(version) || !(alert || holds) {
+            // A hold that is not in force yet is not asked for any more.
+            self.hold = self.hold.filter(|_| holds);
             return;
         }
         let step = reports.iter().map(|(report, _)| report.step).max().unwrap_or(0);
--- a/crates/agateflow/tests/lockstep.rs
+++ b/crates/agateflow/tests/lockstep.rs
@@ -20,6 +20,9 @@
 /// Time that a rank takes to copy experts.
 const COPY_MS: u64 = 200;
 
+/// The same for a rank that copies more than others.
+const LONG_COPY_MS: u64 = 600;
+
 /// A rank as the platform describes it: it compares nothing with other ranks.
 #[derive(Clone, Default)]
 struct Rank {
@@ -47,6 +50,7 @@
     stalled: u64,
     longest_stall: u64,
     changes: u64,
+    copy_ms: [u64; RANKS],
     faults: Faults,
 }
 
@@ -82,6 +86,7 @@
             stalled: 0,
             longest_stall: 0,
             changes: 0,
+            copy_ms: [COPY_MS; RANKS],
             faults,
         }
     }
@@ -148,6 +153,7 @@
         let step = self.step;
         let now = self.now;
         let epoch = self.epoch;
+        let copy_ms = self.copy_ms[index];
         let rank = &mut self.ranks[index];
         match order {
             Order::Prepare { epoch: e, version, map } => {
@@ -155,7 +161,7 @@
                 if e == epoch && new {
                     rank.top = version;
                     rank.prepared = None;
-                    rank.copying = Some((now + COPY_MS, version, map));
+                    rank.copying = Some((now + copy_ms, version, map));
                 }
             }
             Order::Arm { epoch: e, armed } => {
@@ -339,6 +345,22 @@
     assert!(world.longest_stall <= 1, "held for {} passes in a row", world.longest_stall);
 }
 
+#[test]
+fn group_is_not_held_for_an_agent_that_stopped_while_others_still_copied() {
+    let mut world = World::new(5, Faults::default());
+    world.copy_ms[0] = LONG_COPY_MS;
+    while world.ranks[2].prepared.is_none() {
+        world.run(1).unwrap();
+    }
+    // The others hear of it, and rank 0 still copies.
+    world.run(5).unwrap();
+    world.frozen[2] = world.now + 3_000;
+
+    world.run(250).unwrap();
+
+    assert!(world.longest_stall <= 1, "held for {} passes in a row", world.longest_stall);
+}
+
 #[test]
 fn hold_of_a_killed_agent_is_resolved_by_its_successor() {
     let mut world = World::new(3, Faults::default());
--- a/crates/agateflowd/src/direct/send.rs
+++ b/crates/agateflowd/src/direct/send.rs
@@ -74,8 +74,8 @@
         meter::placed(&self.request.service, waited.duration());
         event!(self.entry.logger, Event::RequestSent; "id" => &*self.request.ask.id,
             "upstream" => %upstream.vm, "service" => %self.request.service,
-            "active" => place.active, "fullest" => place.fullest, "limit" => place.limit, "factor" => place.factor,
-            "version" => self.request.table.version(),
+            "active" => place.active, "fullest" => place.fullest, "limit" => place.limit,
+            "factor" => place.factor, "version" => self.request.table.version(),
             "directory" => self.entry.directory.borrow().revision(),
             "waited" => %waited, "reused" => reused);
         self.in_flight.set(true);
