--- a/crates/agateflow/src/lockstep/coordinator.rs
+++ b/crates/agateflow/src/lockstep/coordinator.rs
@@ -14,7 +14,7 @@
 
 /// Age of an agent's status up to which it is trusted to arm its rank at once. A pass that is held
 /// for an agent that stopped leaves callers waiting until it is back.
-const ALERT_LIFE: unit::Millis = unit::Millis::new(40);
+const ALERT_LIFE: unit::Millis = unit::Millis::new(150);
 
 /// The same while orders get lost: arming all ranks then takes more than a pass.
 const LOSSY_HOLD_LEAD: u64 = 3;
--- a/crates/agateflowd/src/direct/rank.rs
+++ b/crates/agateflowd/src/direct/rank.rs
@@ -7,7 +7,7 @@
 use agateflow::direct::peer::{Hello, Members, Message};
 use agateflow::event::Event;
 use agateflow::lockstep::agent::{Agent, Note};
-use agateflow::lockstep::report::{Change, Order, Report, Status};
+use agateflow::lockstep::report::{Order, Report, Status};
 use agateflow::{id, unit};
 use indexmap::IndexSet;
 use tokio::net::UdpSocket;
@@ -22,8 +22,7 @@
 /// Time between two looks at the rank.
 const INTERVAL: Duration = Duration::from_millis(50);
 
-/// The same once the rank is prepared for a change: the agent that holds the pass must know that
-/// this one lives.
+/// The same while a pass is held.
 const FAST_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Time between two looks at the rank's counters.
@@ -149,13 +148,12 @@
         }
     }
 
-    /// Whether the rank is prepared for a change, or holds a pass.
+    /// Whether a change is past its preparation.
     fn is_switching(&self) -> bool {
         let status = self.agent.status(false, self.now());
         status.is_some_and(|status| {
-            let report = &status.report;
-            let prepared = |change: Change| report.prepared == Some(change.version);
-            report.held.is_some() || status.change.is_some_and(prepared)
+            status.report.held.is_some()
+                || status.change.is_some_and(|change| change.step.is_some())
         })
     }
 
@@ -271,7 +269,7 @@
 
     fn tell_demand(&mut self, now: unit::Millis) {
         let Some(coordinator) = self.agent.coordinator(now) else { return };
-        if now < self.demand_at + DEMAND_INTERVAL && !self.is_switching() {
+        if now < self.demand_at + DEMAND_INTERVAL {
             return;
         }
         self.demand_at = now;
