--- a/crates/agateflow/src/direct/pace.rs
+++ b/crates/agateflow/src/direct/pace.rs
@@ -40,17 +40,24 @@
 }
 
 impl Pace {
-    /// Starts from the engines' cost model and the longest pause that callers expect.
-    pub fn new(engine: &config::Engine, pause: unit::Millis, now: unit::Millis) -> Self {
+    /// Starts from the engines' cost model, the longest pause that callers expect, and the cost
+    /// that another entry has measured, if one is known.
+    pub fn new(
+        engine: &config::Engine,
+        pause: unit::Millis,
+        known: Option<f64>,
+        now: unit::Millis,
+    ) -> Self {
         let stride = f64::from(engine.stride);
         let model_ms = (stride * engine.request_ms).max(f64::MIN_POSITIVE);
+        let factor = known.unwrap_or(FIRST_FACTOR).clamp(1.0, MAX_FACTOR);
         Self {
             slots: f64::from(engine.slots),
             pause_ms: pause.get() as f64,
             fixed_ms: stride * engine.step_ms,
             model_ms,
-            cost_ms: model_ms * FIRST_FACTOR,
-            high_ms: model_ms * FIRST_FACTOR,
+            cost_ms: model_ms * factor,
+            high_ms: model_ms * factor,
             at: now,
         }
     }
@@ -66,6 +73,11 @@
         self.cost_ms / self.model_ms
     }
 
+    /// The highest such cost of late.
+    pub fn high_factor(&self) -> f64 {
+        self.high_ms / self.model_ms
+    }
+
     /// Takes in a pause between two events of a stream while a rank had `writers` requests in the
     /// mean.
     pub fn record(&mut self, pause: unit::Micros, writers: f64, now: unit::Millis) {
--- a/crates/agateflow/src/direct/peer.rs
+++ b/crates/agateflow/src/direct/peer.rs
@@ -61,8 +61,6 @@
 pub struct Heartbeat {
     /// The sender's VM.
     pub vm: id::Vm,
-    /// Number of this run of the process, higher in later ones where the clock allows.
-    pub incarnation: u64,
     /// Where it hears other entries.
     pub address: SocketAddr,
     /// Version of its configuration; zero before it knows one.
@@ -73,6 +71,8 @@
     pub leaving: bool,
     /// Requests that it has at upstreams.
     pub counts: IndexMap<id::Vm, u32>,
+    /// Highest cost of late of a request at services of engines, against the cost model's.
+    pub costs: IndexMap<id::Service, f64>,
     /// Upstreams that are leaving.
     pub draining: Vec<id::Vm>,
     /// Crashes that it saw lately.
--- a/crates/agateflow/tests/direct.rs
+++ b/crates/agateflow/tests/direct.rs
@@ -358,7 +358,7 @@
 
 #[test]
 fn rank_gets_fewer_requests_after_a_slow_pass_and_more_again_later() {
-    let mut pace = Pace::new(&engine(), ms(120), ms(0));
+    let mut pace = Pace::new(&engine(), ms(120), None, ms(0));
     let steady = |pace: &mut Pace, from: u64, to: u64| {
         for now in (from..to).step_by(10) {
             pace.record(Micros::new(50_000), 6.0, ms(now));
@@ -375,9 +375,19 @@
     assert!(before > 10.0 && pace.limit() > 10.0, "{before}, {}", pace.limit());
 }
 
+#[test]
+fn entry_that_starts_takes_over_what_others_have_measured() {
+    let mut old = Pace::new(&engine(), ms(120), None, ms(0));
+    old.record(Micros::new(160_000), 6.0, ms(10));
+
+    let new = Pace::new(&engine(), ms(120), Some(old.high_factor()), ms(20));
+
+    assert!((new.limit() - old.limit()).abs() < 0.1, "{} and {}", new.limit(), old.limit());
+}
+
 #[test]
 fn stalled_group_says_nothing_about_its_experts() {
-    let mut pace = Pace::new(&engine(), ms(120), ms(0));
+    let mut pace = Pace::new(&engine(), ms(120), None, ms(0));
     let before = pace.limit();
 
     pace.record(Micros::new(1_500_000), 6.0, ms(100));
@@ -446,12 +456,12 @@
 fn heartbeat(address: &str, config: u64) -> Heartbeat {
     Heartbeat {
         vm: vm("e"),
-        incarnation: 1,
         address: address.parse().unwrap(),
         config,
         directory: 1,
         leaving: false,
         counts: IndexMap::new(),
+        costs: IndexMap::new(),
         draining: Vec::new(),
         crashes: Vec::new(),
         known: vec!["10.0.0.9:7".parse().unwrap()],
--- a/crates/agateflowd/src/direct/entry.rs
+++ b/crates/agateflowd/src/direct/entry.rs
@@ -68,12 +68,12 @@
     pub suspects: RefCell<suspect::Register>,
     /// Queues and limits by service.
     pub services: RefCell<IndexMap<id::Service, Service>>,
+    /// Costs of requests at services of engines, as other entries have measured them.
+    pub costs: RefCell<IndexMap<id::Service, f64>>,
     /// Random numbers of the decisions.
     pub rng: RefCell<Pcg64Mcg>,
     /// Asks for a heartbeat now.
     pub news: Notify,
-    /// Number of this run.
-    pub incarnation: u64,
     /// Whether the process is about to end.
     pub leaving: watch::Sender<bool>,
     crashes: RefCell<Vec<suspect::Crash>>,
@@ -96,9 +96,9 @@
             agents: RefCell::default(),
             suspects: RefCell::default(),
             services: RefCell::default(),
+            costs: RefCell::default(),
             rng: RefCell::new(Pcg64Mcg::from_rng(&mut rand::rng())),
             news: Notify::new(),
-            incarnation: rand::random(),
             leaving: watch::Sender::new(false),
             crashes: RefCell::default(),
             table: RefCell::new(None),
--- a/crates/agateflowd/src/direct/gossip.rs
+++ b/crates/agateflowd/src/direct/gossip.rs
@@ -56,12 +56,12 @@
     known.truncate(MAX_KNOWN);
     peer::Heartbeat {
         vm: entry.options.vm.clone(),
-        incarnation: entry.incarnation,
         address: entry.options.peers,
         config: entry.version(),
         directory: directory.revision(),
         leaving: entry.is_leaving(),
         counts: entry.load.borrow().counts(),
+        costs: entry.high_factors(),
         draining: draining.map(|upstream| upstream.vm.clone()).collect(),
         crashes: entry.crashes(),
         known,
@@ -103,6 +103,7 @@
         entry.hear_crash(*crash);
     }
     entry.directory.borrow_mut().drain(&heartbeat.draining);
+    entry.costs.borrow_mut().extend(heartbeat.costs);
     let name = heartbeat.address.to_string();
     entry.load.borrow_mut().report(&name, heartbeat.counts, now);
     entry.pump_all();
--- a/crates/agateflowd/src/direct/place.rs
+++ b/crates/agateflowd/src/direct/place.rs
@@ -121,7 +121,8 @@
         let engine = table.service(name).and_then(|service| service.engine);
         service.form = engine.map_or(unit::Millis::ZERO, |engine| engine.form);
         if let (None, Some(engine), Some(pause)) = (&service.pace, engine, pause) {
-            service.pace = Some(Pace::new(&engine, pause, now));
+            let known = self.costs.borrow().get(name).copied();
+            service.pace = Some(Pace::new(&engine, pause, known, now));
         }
         f(service)
     }
@@ -345,6 +346,15 @@
         }
     }
 
+    /// Highest costs of late of requests at services of engines.
+    pub fn high_factors(&self) -> IndexMap<id::Service, f64> {
+        let services = self.services.borrow();
+        let paces = services.iter().filter_map(|(name, service)| {
+            service.pace.as_ref().map(|pace| (name.clone(), pace.high_factor()))
+        });
+        paces.collect()
+    }
+
     /// Takes a retry from the service's budget.
     pub fn take_retry(&self, service: &id::Service) -> bool {
         let now = self.now();
--- a/crates/agateflowd/src/direct/run.rs
+++ b/crates/agateflowd/src/direct/run.rs
@@ -42,7 +42,7 @@
     task::spawn_local(follow::tick(entry.clone()));
     let server = task::spawn_local(server::run(entry.clone(), callers, closed));
     event!(entry.logger, Event::Started; "version" => env!("CARGO_PKG_VERSION"),
-        "incarnation" => entry.incarnation, "data_centre" => %options.data_centre);
+        "data_centre" => %options.data_centre);
     signal().await.map_err(Error::Signal)?;
     let begun = entry.now();
     event!(entry.logger, Event::Draining; "running" => entry.running());
