Bound what one slow pass says of a rank's limit

Change: a request is believed to cost four times the model at most; pauses above ten times still count as a stall and say nothing. A refusal's line tells the limit, the mean, who waits and the cost, so that crowds and uneven experts can be told apart.

--- a/crates/agateflow/src/direct/pace.rs
+++ b/crates/agateflow/src/direct/pace.rs
@@ -21,8 +21,12 @@
 /// Cost of a request against the cost model's before anything was measured.
 const FIRST_FACTOR: f64 = 2.5;
 
-/// Highest believed cost against the cost model's: a stalled group says nothing about its experts.
-const MAX_FACTOR: f64 = 10.0;
+/// Cost against the cost model's above which a pause says nothing: the group stalled.
+const STALL_FACTOR: f64 = 10.0;
+
+/// Highest believed cost against the cost model's. Uneven experts cost no more; what a pause takes
+/// beyond that does not come from the requests that run, and fewer of them would not shorten it.
+const MAX_FACTOR: f64 = 4.0;
 
 /// Fewest requests of a rank.
 const MIN_LIMIT: f64 = 3.0;
@@ -83,10 +87,10 @@
     pub fn record(&mut self, pause: unit::Micros, writers: f64, now: unit::Millis) {
         let pause_ms = pause.get() as f64 / 1_000.0;
         let cost_ms = (pause_ms - self.fixed_ms) / writers.max(1.0);
-        if cost_ms > self.model_ms * MAX_FACTOR {
+        if cost_ms > self.model_ms * STALL_FACTOR {
             return;
         }
-        let cost_ms = cost_ms.max(self.model_ms);
+        let cost_ms = cost_ms.clamp(self.model_ms, self.model_ms * MAX_FACTOR);
         self.cost_ms += (cost_ms - self.cost_ms) * SAMPLE_SHARE;
         let age = now.saturating_sub(self.at).get() as f64;
         let decay = 0.5_f64.powf(age / HIGH_HALF_LIFE_MS);
--- a/crates/agateflowd/src/direct/place.rs
+++ b/crates/agateflowd/src/direct/place.rs
@@ -60,6 +60,19 @@
     Busy(unit::Millis),
 }
 
+/// How full a service is, for logs.
+#[derive(Clone, Copy, Debug)]
+pub struct Crowd {
+    /// Requests that wait at this entry.
+    pub waiting: usize,
+    /// Requests that an upstream may have.
+    pub limit: f64,
+    /// Requests of its upstreams in the mean, of all entries.
+    pub mean: f64,
+    /// How much slower its group passes than with even experts, if it is one.
+    pub factor: Option<f64>,
+}
+
 /// A place at an upstream, given back when dropped.
 pub struct Place {
     entry: Rc<Entry>,
@@ -346,6 +359,20 @@
         }
     }
 
+    /// How full `name` is.
+    pub fn crowd(&self, name: &id::Service) -> Crowd {
+        let limit = self.limit(name, &self.directory.borrow());
+        let (_, mean) = self.spread(name);
+        let services = self.services.borrow();
+        let service = services.get(name);
+        Crowd {
+            waiting: service.map_or(0, |service| service.queue.len()),
+            limit,
+            mean,
+            factor: service.and_then(|service| service.pace.as_ref()).map(Pace::factor),
+        }
+    }
+
     /// Highest costs of late of requests at services of engines.
     pub fn high_factors(&self) -> IndexMap<id::Service, f64> {
         let services = self.services.borrow();
