--- a/crates/agateflow/tests/lockstep.rs
+++ b/crates/agateflow/tests/lockstep.rs
@@ -375,6 +375,26 @@
     }
 }
 
+/// Passes that the long run plays unless `AGATEFLOW_PASSES` names another number.
+const PASSES: u64 = 5_000;
+
+/// Worlds that the long run plays side by side.
+const WORLDS: u64 = 5;
+
+#[test]
+fn no_pass_of_a_long_run_begins_with_two_maps() {
+    let passes = std::env::var("AGATEFLOW_PASSES").ok().and_then(|text| text.parse().ok());
+    let ticks = passes.unwrap_or(PASSES) / WORLDS * PASS_TICKS;
+
+    let results = std::thread::scope(|scope| {
+        let play = |seed| scope.spawn(move || World::new(seed, all_faults()).run(ticks));
+        let plays: Vec<_> = (1_000..1_000 + WORLDS).map(play).collect();
+        plays.into_iter().map(|play| play.join().unwrap()).collect::<Vec<_>>()
+    });
+
+    assert_eq!(results, vec![Ok(()); WORLDS as usize]);
+}
+
 #[test]
 fn guard_over_all_ranks_is_needed() {
     let faults = Faults { lie: true, ..all_faults() };
