Plan from sets that are built once; drop a write-only epoch

Cause: read-through. The planner built each set anew in every comparison of its sort and once more to plan it, copied all agents' demands to add them up, and the demand kept an epoch that nothing reads. Change: sets are built once, demands are read where they are. Plans are the same.

--- a/crates/agateflow/src/lockstep/agent.rs
+++ b/crates/agateflow/src/lockstep/agent.rs
@@ -157,8 +157,8 @@
     }
 
     /// Takes in the own rank's counters.
-    pub fn count(&mut self, epoch: u64, counts: &[u64], now: unit::Millis) {
-        self.demand.observe(epoch, counts, now);
+    pub fn count(&mut self, counts: &[u64], now: unit::Millis) {
+        self.demand.observe(counts, now);
     }
 
     /// Takes in another agent's status.
--- a/crates/agateflow/src/lockstep/coordinator.rs
+++ b/crates/agateflow/src/lockstep/coordinator.rs
@@ -114,10 +114,11 @@
     /// Demand of all ranks, by set and expert.
     fn load(&self, shape: &Shape) -> Vec<Vec<f64>> {
         let mut sum = vec![0.0; shape.sets * shape.experts];
-        let others = self.others.values().map(|known| known.demand.clone());
-        for demand in others.chain([self.demand.load()]) {
+        let own = self.demand.load();
+        let others = self.others.values().map(|known| &known.demand);
+        for demand in others.chain([&own]) {
             for (sum, part) in sum.iter_mut().zip(demand) {
-                *sum += f64::from(part);
+                *sum += f64::from(*part);
             }
         }
         sum.chunks(shape.experts.max(1)).map(<[f64]>::to_vec).collect()
--- a/crates/agateflow/src/lockstep/demand.rs
+++ b/crates/agateflow/src/lockstep/demand.rs
@@ -11,20 +11,18 @@
     last: Vec<u64>,
     load: Vec<f64>,
     at: Option<unit::Millis>,
-    epoch: u64,
 }
 
 impl Demand {
     /// Takes in the counters as of now. Counters that are lower than before belong to a rank that
     /// started again.
-    pub fn observe(&mut self, epoch: u64, counts: &[u64], now: unit::Millis) {
+    pub fn observe(&mut self, counts: &[u64], now: unit::Millis) {
         let restarted = self.last.len() != counts.len()
             || self.last.iter().zip(counts).any(|(last, count)| count < last);
         if restarted {
             self.last = counts.to_vec();
             self.load = vec![0.0; counts.len()];
         }
-        self.epoch = epoch;
         let age = self.at.map_or(0, |at| now.saturating_sub(at).get());
         let decay = 0.5_f64.powf(age as f64 / HALF_LIFE_MS);
         for ((load, last), count) in self.load.iter_mut().zip(&mut self.last).zip(counts) {
--- a/crates/agateflow/src/lockstep/even.rs
+++ b/crates/agateflow/src/lockstep/even.rs
@@ -52,12 +52,11 @@
     let ranks = present.0.first().map_or(0, Vec::len);
     let mut copies = vec![0; ranks];
     let mut plan = Plan { map: Map::default(), before: 0.0, after: 0.0, bound: 0.0, copies: 0 };
-    let mut order: Vec<usize> = (0..present.0.len()).collect();
-    let excess = |set: &usize| Set::new(&load[*set], &present.0[*set], bounds).hottest();
-    order.sort_by(|a, b| excess(b).total_cmp(&excess(a)));
+    let build = |index: usize| (index, Set::new(&load[index], &present.0[index], bounds));
+    let mut order: Vec<_> = (0..present.0.len()).map(build).collect();
+    order.sort_by(|(_, a), (_, b)| b.hottest().total_cmp(&a.hottest()));
     let mut sets: Vec<Vec<Vec<u16>>> = vec![Vec::new(); present.0.len()];
-    for index in order {
-        let mut set = Set::new(&load[index], &present.0[index], bounds);
+    for (index, mut set) in order {
         plan.before += set.hottest();
         set.improve(&copies, bounds);
         plan.after += set.hottest();
--- a/crates/agateflow/tests/lockstep.rs
+++ b/crates/agateflow/tests/lockstep.rs
@@ -212,10 +212,9 @@
         for _ in 0..4 {
             let report = self.report(index);
             let counts = self.counts[index].clone();
-            let epoch = self.epoch;
             let Some(agent) = &mut self.agents[index] else { return };
             agent.observe(report, now);
-            agent.count(epoch, &counts, now);
+            agent.count(&counts, now);
             let Some(order) = agent.order(now) else { break };
             let gives = matches!(order, Order::Hold { .. });
             self.send(index, order);
