One place for signals, accepting and HTTP connections of the direct path

Cause: read-through. Change: signal::end, socket::accept, socket::open and small methods serve them. A listener that fails while an entry closes is now given up at once, not after the pause of 50 ms. Otherwise as before.

--- a/crates/agateflowd/src/direct/channel.rs
+++ b/crates/agateflowd/src/direct/channel.rs
@@ -11,7 +11,6 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
-use hyper_util::rt::TokioIo;
 use indexmap::IndexMap;
 use tokio::task;
 
@@ -58,6 +57,18 @@
     limit: Duration,
 }
 
+impl Idle {
+    fn is_usable(&self, now: Instant) -> bool {
+        !self.sender.is_closed() && now < self.since + self.limit
+    }
+
+    /// Closes the connection. It is not to be kept: false.
+    fn close(&self) -> bool {
+        self.task.abort();
+        false
+    }
+}
+
 /// Idle connections to all upstreams.
 #[derive(Default)]
 pub struct Pool {
@@ -98,28 +109,15 @@
         let mut idle = self.idle.borrow_mut();
         let channels = idle.get_mut(&address)?;
         let now = Instant::now();
-        channels.retain(|idle| {
-            let usable = !idle.sender.is_closed() && now < idle.since + idle.limit;
-            if !usable {
-                idle.task.abort();
-            }
-            usable
-        });
+        channels.retain(|idle| idle.is_usable(now) || idle.close());
         let fits = |idle: &Idle| idle.sender.is_ready() && (!once || now < idle.since + FRESH_TIME);
         let index = channels.iter().rposition(fits)?;
         Some(channels.swap_remove(index))
     }
 
     async fn open(self: &Rc<Self>, address: SocketAddr) -> Result<Channel, Error> {
-        let unsent = |reason: String| Error::Unsent { peer: address, reason: reason.into() };
-        let stream =
-            socket::connect(address, CONNECT_TIME).await.map_err(|e| unsent(e.to_string()))?;
-        let (sender, connection) = http1::Builder::new()
-            .handshake(TokioIo::new(stream))
-            .await
-            .map_err(|e| unsent(e.to_string()))?;
-        // The sender learns of the connection's errors.
-        let task = task::spawn_local(async move { drop(connection.await) }).abort_handle();
+        let opened = socket::open(address, CONNECT_TIME).await;
+        let (sender, task) = opened.map_err(|reason| Error::Unsent { peer: address, reason })?;
         Ok(Channel {
             sender: Some(sender),
             task,
@@ -136,13 +134,7 @@
         let now = Instant::now();
         self.idle.borrow_mut().retain(|&address, channels| {
             let keeps = keep(address);
-            channels.retain(|idle| {
-                let usable = keeps && !idle.sender.is_closed() && now < idle.since + idle.limit;
-                if !usable {
-                    idle.task.abort();
-                }
-                usable
-            });
+            channels.retain(|idle| (keeps && idle.is_usable(now)) || idle.close());
             !channels.is_empty()
         });
     }
--- a/crates/agateflowd/src/direct/page.rs
+++ b/crates/agateflowd/src/direct/page.rs
@@ -9,7 +9,6 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use hyper::client;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -69,14 +68,7 @@
     answer: impl Fn() -> Response<Full<Bytes>> + Clone + 'static,
 ) {
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                event!(logger, Event::AcceptFailed; "reason" => %error);
-                time::sleep(Duration::from_millis(50)).await;
-                continue;
-            }
-        };
+        let stream = socket::accept(&listener, logger).await;
         let answer = answer.clone();
         let service = service_fn(move |_: Request<Incoming>| {
             let answer = answer();
@@ -127,10 +119,7 @@
 }
 
 async fn request(peer: SocketAddr) -> Result<Bytes, Box<str>> {
-    let stream = socket::connect(peer, SNAPSHOT_TIME).await.map_err(reason)?;
-    let io = TokioIo::new(stream);
-    let (mut sender, connection) = client::conn::http1::handshake(io).await.map_err(reason)?;
-    let task = task::spawn_local(async move { drop(connection.await) });
+    let (mut sender, task) = socket::open(peer, SNAPSHOT_TIME).await?;
     let response = sender.send_request(Request::new(Full::<Bytes>::default())).await;
     let body = Limited::new(response.map_err(reason)?.into_body(), SNAPSHOT_BYTES).collect().await;
     task.abort();
--- a/crates/agateflowd/src/direct/place.rs
+++ b/crates/agateflowd/src/direct/place.rs
@@ -105,10 +105,7 @@
 
 impl Drop for Waiting {
     fn drop(&mut self) {
-        if let Some(service) = self.entry.services.borrow_mut().get_mut(&self.service) {
-            service.queue.remove(self.ticket);
-            service.waiters.shift_remove(&self.ticket);
-        }
+        self.entry.leave(&self.service, self.ticket);
     }
 }
 
--- a/crates/agateflowd/src/direct/rank.rs
+++ b/crates/agateflowd/src/direct/rank.rs
@@ -17,7 +17,7 @@
 use super::edge::{Rank, RankError, Receipt};
 use super::{page, socket, takeover};
 use crate::error::Error;
-use crate::{event, meter};
+use crate::{event, meter, signal};
 
 /// Time between two looks at the rank.
 const INTERVAL: Duration = Duration::from_millis(50);
@@ -95,8 +95,7 @@
         task::spawn_local(page::serve_metrics(logger.clone(), listener));
         task::spawn_local(meter::upkeep());
     }
-    let mut terminate = unix::signal(unix::SignalKind::terminate()).map_err(Error::Signal)?;
-    let mut interrupt = unix::signal(unix::SignalKind::interrupt()).map_err(Error::Signal)?;
+    let end = signal::end()?;
     // Nothing of the settings may change while the process runs.
     let _hangup = unix::signal(unix::SignalKind::hangup()).map_err(Error::Signal)?;
     event!(logger, Event::Started; "version" => env!("CARGO_PKG_VERSION"),
@@ -122,8 +121,7 @@
     };
     tokio::select! {
         () = process.work() => {}
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+        () = end => {}
     }
     event!(process.logger, Event::Drained;);
     Ok(())
@@ -203,7 +201,7 @@
         if now >= self.counted_at + COUNT_INTERVAL {
             self.counted_at = now;
             if let Ok(counts) = self.rank.counts().await {
-                self.agent.count(counts.epoch, &counts.counts, now);
+                self.agent.count(&counts.counts, now);
             }
         }
     }
--- a/crates/agateflowd/src/direct/run.rs
+++ b/crates/agateflowd/src/direct/run.rs
@@ -6,14 +6,13 @@
 use agateflow::event::Event;
 use agateflow::unit;
 use tokio::net::UdpSocket;
-use tokio::signal::unix;
 use tokio::sync::watch;
 use tokio::{task, time};
 
 use super::page::{self, Page};
 use super::{Entry, follow, gossip, server, socket};
 use crate::error::Error;
-use crate::{event, meter};
+use crate::{event, meter, signal};
 
 /// Time for which new connections are taken after the signal to end: the balancer needs it to
 /// notice that the entry is not ready.
@@ -43,7 +42,7 @@
     let server = task::spawn_local(server::run(entry.clone(), callers, closed));
     event!(entry.logger, Event::Started; "version" => env!("CARGO_PKG_VERSION"),
         "data_centre" => %options.data_centre);
-    signal().await.map_err(Error::Signal)?;
+    signal::end()?.await;
     let begun = entry.now();
     event!(entry.logger, Event::Draining; "running" => entry.running());
     entry.leaving.send_replace(true);
@@ -79,16 +78,6 @@
     Ok(())
 }
 
-async fn signal() -> std::io::Result<()> {
-    let mut terminate = unix::signal(unix::SignalKind::terminate())?;
-    let mut interrupt = unix::signal(unix::SignalKind::interrupt())?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
-    Ok(())
-}
-
 async fn drain(entry: &Entry, begun: unit::Millis) {
     let end = begun + entry.options.grace.saturating_sub(GRACE_MARGIN);
     while entry.running() > 0 && entry.now() < end {
--- a/crates/agateflowd/src/direct/server.rs
+++ b/crates/agateflowd/src/direct/server.rs
@@ -33,9 +33,6 @@
 /// Limits before a configuration is known.
 const FIRST_LIMIT: Duration = Duration::from_secs(15);
 
-/// Time after an error of the listener.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-
 /// What a connection waits for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Phase {
@@ -53,13 +50,9 @@
     let handed_on = closed.clone();
     loop {
         tokio::select! {
-            accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => spawn(&entry, stream, handed_on.clone()),
-                Err(error) => {
-                    event!(entry.logger, Event::AcceptFailed; "reason" => %error);
-                    time::sleep(ACCEPT_PAUSE).await;
-                }
-            },
+            stream = socket::accept(&listener, &entry.logger) => {
+                spawn(&entry, stream, handed_on.clone());
+            }
             _ = closed.wait_for(|&closed| closed) => return,
         }
     }
--- a/crates/agateflowd/src/lib.rs
+++ b/crates/agateflowd/src/lib.rs
@@ -14,4 +14,5 @@
 pub mod meter;
 pub mod operators;
 pub mod process;
+pub mod signal;
 pub mod upstream;
--- a/crates/agateflowd/src/process.rs
+++ b/crates/agateflowd/src/process.rs
@@ -11,7 +11,6 @@
 use agateflow::id;
 use agateflow::kernel;
 use agateflow::settings;
-use tokio::signal::unix;
 use tokio::sync::watch;
 use tokio::time;
 
@@ -20,7 +19,7 @@
 use crate::link::{self, Identity};
 use crate::operators::{self, Pages, Status};
 use crate::upstream::{self, Upstream};
-use crate::{configuration, event, fleet, meter};
+use crate::{configuration, event, fleet, meter, signal};
 
 /// Name of the entry's service.
 pub const ENTRY: kernel::Name = kernel::Name::new("entry");
@@ -184,12 +183,7 @@
     ///
     /// [`Error::Signal`] if signals cannot be awaited.
     pub async fn run(self) -> Result<(), Error> {
-        let mut terminate = unix::signal(unix::SignalKind::terminate()).map_err(Error::Signal)?;
-        let mut interrupt = unix::signal(unix::SignalKind::interrupt()).map_err(Error::Signal)?;
-        tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
-        }
+        signal::end()?.await;
         self.drain().await;
         Ok(())
     }
