--- a/crates/agateflow/src/lockstep/agent.rs
+++ b/crates/agateflow/src/lockstep/agent.rs
@@ -65,6 +65,8 @@
         bound: f64,
         /// Most experts that are new to a rank.
         copies: usize,
+        /// Ranks' loads that were worked out for it.
+        work: usize,
     },
     /// A change is in use.
     Done {
--- a/crates/agateflow/src/lockstep/coordinator.rs
+++ b/crates/agateflow/src/lockstep/coordinator.rs
@@ -93,6 +93,7 @@
             after: plan.after,
             bound: plan.bound,
             copies: plan.copies,
+            work: plan.work,
         });
         self.change = Some(Change { epoch: own.epoch, version, map: plan.map, step: None });
     }
--- a/crates/agateflow/src/lockstep/even.rs
+++ b/crates/agateflow/src/lockstep/even.rs
@@ -45,13 +45,16 @@
     pub bound: f64,
     /// Most experts that are new to a rank.
     pub copies: usize,
+    /// Ranks' loads that were worked out on the way: the time that planning takes.
+    pub work: usize,
 }
 
 /// Plans the next map for `load`, by set and expert, from the present one.
 pub fn plan(load: &[Vec<f64>], present: &Map, bounds: &Bounds) -> Plan {
     let ranks = present.0.first().map_or(0, Vec::len);
     let mut copies = vec![0; ranks];
-    let mut plan = Plan { map: Map::default(), before: 0.0, after: 0.0, bound: 0.0, copies: 0 };
+    let mut plan =
+        Plan { map: Map::default(), before: 0.0, after: 0.0, bound: 0.0, copies: 0, work: 0 };
     let build = |index: usize| (index, Set::new(&load[index], &present.0[index], bounds));
     let mut order: Vec<_> = (0..present.0.len()).map(build).collect();
     order.sort_by(|(_, a), (_, b)| b.hottest().total_cmp(&a.hottest()));
@@ -64,6 +67,7 @@
         for (rank, copies) in copies.iter_mut().enumerate() {
             *copies += set.new_at(rank);
         }
+        plan.work += set.work;
         sets[index] = set.ranks;
     }
     plan.map = Map(sets);
@@ -79,6 +83,7 @@
     holders: Vec<usize>,
     sums: Vec<f64>,
     bounds: Bounds,
+    work: usize,
 }
 
 /// A step: an expert comes to a rank, or leaves one, or both.
@@ -99,8 +104,15 @@
             holders[usize::from(*expert)] += 1;
         }
         let ranks = present.to_vec();
-        let mut set =
-            Self { load, present, sums: vec![0.0; ranks.len()], ranks, holders, bounds: *bounds };
+        let mut set = Self {
+            load,
+            present,
+            sums: vec![0.0; ranks.len()],
+            ranks,
+            holders,
+            bounds: *bounds,
+            work: 0,
+        };
         set.sum();
         set
     }
@@ -135,6 +147,7 @@
             let before = self.new_count();
             let best = self.steps().into_iter().filter_map(|step| {
                 self.apply(step);
+                self.work += self.ranks.len();
                 let fits = self.fits(step, copies, bounds);
                 let copies = self.new_count().saturating_sub(before) as f64;
                 let gain = 1.0 - self.measure() / now;
--- a/crates/agateflow/src/lockstep/mod.rs
+++ b/crates/agateflow/src/lockstep/mod.rs
@@ -20,3 +20,4 @@
 pub mod even;
 pub mod report;
 pub mod takeover;
+pub mod tell;
--- a/crates/agateflowd/src/direct/rank.rs
+++ b/crates/agateflowd/src/direct/rank.rs
@@ -8,6 +8,7 @@
 use agateflow::event::Event;
 use agateflow::lockstep::agent::{Agent, Note};
 use agateflow::lockstep::report::{Order, Report, Status};
+use agateflow::lockstep::tell::Teller;
 use agateflow::{id, unit};
 use indexmap::IndexSet;
 use tokio::net::UdpSocket;
@@ -28,15 +29,6 @@
 /// Time between two looks at the rank's counters.
 const COUNT_INTERVAL: unit::Millis = unit::Millis::new(45);
 
-/// Time between two statuses to all agents without news.
-const STATUS_INTERVAL: unit::Millis = unit::Millis::new(300);
-
-/// The same while a pass is held or may be: silence then makes others act.
-const SWITCH_STATUS_INTERVAL: unit::Millis = unit::Millis::new(60);
-
-/// Time between two statuses with the demand to the agent that plans.
-const DEMAND_INTERVAL: unit::Millis = unit::Millis::new(45);
-
 /// Time between two signs of life to entries.
 const HELLO_INTERVAL: unit::Millis = unit::Millis::new(1_000);
 
@@ -73,14 +65,11 @@
     logger: slog::Logger,
     start: Instant,
     entries: IndexSet<SocketAddr>,
-    agents: IndexSet<SocketAddr>,
+    teller: Teller,
     calls: takeover::Calls,
     experts: Option<(u64, u64, Vec<Vec<u16>>)>,
-    told: Option<Status>,
-    told_at: unit::Millis,
     hello_at: Option<unit::Millis>,
     counted_at: unit::Millis,
-    demand_at: unit::Millis,
     turned_at: unit::Millis,
     traffic: Traffic,
     viewed_at: unit::Millis,
@@ -116,18 +105,15 @@
     let mut process = Process {
         agent: Agent::new(options.peers, rand::random()),
         entries: options.seeds.iter().copied().collect(),
-        agents: IndexSet::new(),
+        teller: Teller::new(),
         options,
         rank,
         socket,
         start: Instant::now(),
         calls: takeover::Calls::new(),
         experts: None,
-        told: None,
-        told_at: unit::Millis::ZERO,
         hello_at: None,
         counted_at: unit::Millis::ZERO,
-        demand_at: unit::Millis::ZERO,
         turned_at: unit::Millis::ZERO,
         traffic: Traffic::default(),
         viewed_at: unit::Millis::ZERO,
@@ -299,11 +285,11 @@
     fn note(&mut self, took: Duration) {
         for note in self.agent.notes() {
             match note {
-                Note::Planned { version, before, after, bound, copies } => {
+                Note::Planned { version, before, after, bound, copies, work } => {
                     meter::planned(took);
                     event!(self.logger, Event::MapPlanned; "version" => version,
                         "before" => before, "after" => after, "bound" => bound,
-                        "copies" => copies, "took_ms" => took.as_millis() as u64);
+                        "copies" => copies, "work" => work, "took_ms" => took.as_millis() as u64);
                 }
                 Note::Done { version } => {
                     meter::map_changed();
@@ -314,34 +300,18 @@
         }
     }
 
-    /// Tells the group's agents what is new, and from time to time what is not.
+    /// Tells the group's agents what is due, and entries from time to time that it lives.
     fn tell(&mut self) {
         let now = self.now();
-        let Some(status) = self.agent.status(false, now) else { return };
-        let news = self.told.as_ref().is_none_or(|told| is_news(told, &status));
-        let switching = self.agent.is_switching() || self.agent.is_prepared();
-        let interval = if switching { SWITCH_STATUS_INTERVAL } else { STATUS_INTERVAL };
-        if news || now >= self.told_at + interval {
-            self.told_at = now;
-            self.send(&status, &self.agents.clone());
-            self.told = Some(status.clone());
+        for message in self.teller.due(&self.agent, now) {
+            self.send(&message.status, &message.to);
         }
-        if self.hello_at.is_none_or(|at| now >= at + HELLO_INTERVAL) {
+        if self.hello_at.is_none_or(|at| now >= at + HELLO_INTERVAL)
+            && let Some(status) = self.agent.status(false, now)
+        {
             self.hello_at = Some(now);
-            let status = Status { change: None, ..status };
-            self.send(&status, &self.entries.clone());
-        }
-        self.tell_demand(now);
-    }
-
-    fn tell_demand(&mut self, now: unit::Millis) {
-        let Some(coordinator) = self.agent.coordinator(now) else { return };
-        if now < self.demand_at + DEMAND_INTERVAL {
-            return;
-        }
-        self.demand_at = now;
-        if let Some(status) = self.agent.status(true, now) {
-            self.send(&status, &IndexSet::from([coordinator]));
+            let entries: Vec<SocketAddr> = self.entries.iter().copied().collect();
+            self.send(&Status { change: None, ..status }, &entries);
         }
     }
 
@@ -362,7 +332,7 @@
             "longest_turn" => %traffic.longest_turn);
     }
 
-    fn send(&mut self, status: &Status, to: &IndexSet<SocketAddr>) {
+    fn send(&mut self, status: &Status, to: &[SocketAddr]) {
         let hello = Hello { service: self.options.service.clone(), status: status.clone() };
         let Ok(bytes) = postcard::to_stdvec(&Message::Rank(hello)) else { return };
         for &address in to {
@@ -378,7 +348,7 @@
         let now = self.now();
         match postcard::from_bytes(bytes) {
             Ok(Message::Rank(hello)) => {
-                self.agents.insert(hello.status.address);
+                self.teller.meet([hello.status.address]);
                 self.agent.hear(hello.status, now);
             }
             Ok(Message::Members(members)) => self.meet(members),
@@ -392,16 +362,10 @@
     fn meet(&mut self, members: Members) {
         self.entries.extend(members.entries);
         let own = self.options.peers;
-        self.agents.extend(members.agents.into_iter().filter(|&address| address != own));
+        self.teller.meet(members.agents.into_iter().filter(|&address| address != own));
         self.calls.meet(members.ranks);
         if let Some(shape) = members.shape {
             self.agent.set_shape(shape);
         }
     }
 }
-
-/// Whether other agents wait for what changed.
-fn is_news(told: &Status, status: &Status) -> bool {
-    let state = |r: &Report| (r.epoch, r.open, r.map, r.prepared, r.armed, r.held);
-    state(&told.report) != state(&status.report) || told.change != status.change
-}
