--- a/crates/agateflow/tests/lockstep_large.rs
+++ b/crates/agateflow/tests/lockstep_large.rs
@@ -35,7 +35,7 @@
 /// Share of a core that an agent has.
 const CORE_SHARE: f64 = 0.15;
 /// Processor time for one rank's load of a plan in a release build, in milliseconds.
-const LOAD_MS: f64 = 15e-6;
+const LOAD_MS: f64 = 50e-6;
 /// Time in which other experts come into demand on the grown fleets' days.
 const SHIFT_MS: u64 = 2_300;
 
