Look for a due order without copying the agent or planning

What callers saw: the map of a large group late. Cause: on each message an agent copied all that it knows of 71 others, half a megabyte of choices, and planned in the copy, to learn whether an order was due. Now it looks at what is due without a copy, and plans only in its own turn, so a plan is made once.

--- a/crates/agateflow/src/lockstep/agent.rs
+++ b/crates/agateflow/src/lockstep/agent.rs
@@ -1,6 +1,7 @@
 //! The agent beside one rank: a pure machine over the rank's reports and the others' statuses.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
@@ -58,6 +59,19 @@
     }
 }
 
+/// What the own rank is to be ordered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Due {
+    /// To copy the experts of the change with this version.
+    Prepare(u64),
+    /// To switch.
+    Arm(Armed),
+    /// Not to begin this pass.
+    Hold(u64),
+    /// To begin this pass.
+    Go(u64),
+}
+
 /// What the agent is doing, for logs.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Note {
@@ -112,7 +126,7 @@
 pub struct Agent {
     address: SocketAddr,
     pub(super) shape: Option<Shape>,
-    pub(super) report: Option<(Report, unit::Millis)>,
+    pub(super) report: Option<(Rc<Report>, unit::Millis)>,
     pub(super) others: IndexMap<u32, Known>,
     pub(super) demand: Demand,
     pub(super) change: Option<Change>,
@@ -127,7 +141,8 @@
     /// When the agent last went on after it had stopped.
     pub(super) awake_at: unit::Millis,
     pub(super) lossy_until: unit::Millis,
-    ordered: Option<(Order, unit::Millis)>,
+    /// The last order, with the group's form that it was for.
+    ordered: Option<(u64, Due, unit::Millis)>,
     pub(super) ended: unit::Millis,
     pub(super) top: u64,
     pub(super) seed: u64,
@@ -181,7 +196,7 @@
             self.found = None;
             self.released = None;
         }
-        self.report = Some((report, now));
+        self.report = Some((Rc::new(report), now));
         self.settle(now);
     }
 
@@ -191,7 +206,7 @@
     }
 
     /// Takes in another agent's status.
-    pub fn hear(&mut self, status: Status, now: unit::Millis) {
+    pub fn hear(&mut self, mut status: Status, now: unit::Millis) {
         let Some((own, _)) = &self.report else { return };
         if status.report.group != own.group || status.report.rank == own.rank {
             return;
@@ -202,7 +217,7 @@
         }
         let rank = status.report.rank;
         let before = self.others.swap_remove(&rank);
-        let told = status.demand.clone().map(|choices| (choices, now));
+        let told = status.demand.take().map(|choices| (choices, now));
         let choices = told.or_else(|| before.and_then(|known| known.choices));
         let takeover = takeover::State::default();
         let read = now.saturating_sub(status.age);
@@ -274,7 +289,7 @@
         let (report, at) = self.report.as_ref()?;
         Some(Status {
             address: self.address,
-            report: report.clone(),
+            report: Report::clone(report),
             age: now.saturating_sub(*at),
             top: self.top,
             change: self.change.as_ref().map(Change::without_map),
@@ -298,7 +313,8 @@
         let (own, _) = self.report.as_ref()?;
         let ages = self.others.values().map(|known| now.saturating_sub(known.heard));
         let prepared = |change: &Change| {
-            let reports = self.others.values().map(|known| &known.status.report).chain([own]);
+            let reports = self.others.values().map(|known| &known.status.report);
+            let reports = reports.chain([&**own]);
             reports.filter(|report| report.prepared == Some(change.version)).count()
         };
         Some(View {
@@ -319,17 +335,36 @@
 
     /// The next order to the own rank, if one is due.
     pub fn order(&mut self, now: unit::Millis) -> Option<Order> {
-        let order = self.choose(now);
+        if let Some(own) = self.fresh_report(now)
+            && self.change.is_none()
+            && self.is_coordinator(now)
+        {
+            self.begin(&own, now);
+        }
+        let due = self.due(now);
         let stepped = self.change.as_ref().is_some_and(|change| change.step.is_some());
         self.stepped_at = stepped.then(|| self.stepped_at.unwrap_or(now));
-        order
+        let (epoch, due) = due?;
+        if let Due::Go(step) = due {
+            self.let_go(step, now);
+        }
+        self.ordered = Some((epoch, due, now));
+        self.spell_out(epoch, due)
     }
 
-    fn choose(&mut self, now: unit::Millis) -> Option<Order> {
-        let (own, at) = self.report.clone()?;
-        if !own.open || now > at + REPORT_LIFE {
-            return None;
-        }
+    /// Whether an order is due, apart from those of a change that is not planned yet.
+    pub fn is_due(&mut self, now: unit::Millis) -> bool {
+        self.due(now).is_some()
+    }
+
+    fn fresh_report(&self, now: unit::Millis) -> Option<Rc<Report>> {
+        let (own, at) = self.report.as_ref()?;
+        (own.open && now <= *at + REPORT_LIFE).then(|| own.clone())
+    }
+
+    /// The order that is due, with the group's form that it is for.
+    fn due(&mut self, now: unit::Millis) -> Option<(u64, Due)> {
+        let own = self.fresh_report(now)?;
         if let Some(step) = own.held {
             if self.found.is_none_or(|(found, _)| found != step) {
                 self.found = Some((step, now));
@@ -339,48 +374,58 @@
         if self.is_coordinator(now) {
             self.coordinate(&own, now);
         }
-        let order = self.due(&own, now)?;
-        if let Order::Go { step, .. } = order {
-            if now > self.held_at + ARM_TIME {
-                self.lossy_until = now + LOSSY_TIME;
-            }
-            if self.change.as_ref().is_none_or(|change| change.step != Some(step)) {
-                self.released = Some(step);
-            }
-        }
-        let retry = match order {
-            Order::Prepare { .. } => PREPARE_RETRY,
+        let due = self.choose(&own, now)?;
+        let retry = match due {
+            Due::Prepare(_) => PREPARE_RETRY,
             _ => ORDER_RETRY,
         };
-        if self.ordered.as_ref().is_some_and(|(last, at)| *last == order && now < *at + retry) {
-            return None;
+        let again = |(epoch, last, at): (u64, Due, unit::Millis)| {
+            (epoch, last) == (own.epoch, due) && now < at + retry
+        };
+        (!self.ordered.is_some_and(again)).then_some((own.epoch, due))
+    }
+
+    fn let_go(&mut self, step: u64, now: unit::Millis) {
+        if now > self.held_at + ARM_TIME {
+            self.lossy_until = now + LOSSY_TIME;
         }
-        self.ordered = Some((order.clone(), now));
+        if self.change.as_ref().is_none_or(|change| change.step != Some(step)) {
+            self.released = Some(step);
+        }
+    }
+
+    fn spell_out(&self, epoch: u64, due: Due) -> Option<Order> {
+        let order = match due {
+            Due::Prepare(version) => {
+                Order::Prepare { epoch, version, map: self.change.as_ref()?.map.clone() }
+            }
+            Due::Arm(armed) => Order::Arm { epoch, armed },
+            Due::Hold(step) => Order::Hold { epoch, step },
+            Due::Go(step) => Order::Go { epoch, step },
+        };
         Some(order)
     }
 
-    fn due(&self, own: &Report, now: unit::Millis) -> Option<Order> {
-        let epoch = own.epoch;
+    fn choose(&self, own: &Report, now: unit::Millis) -> Option<Due> {
         if let Some(step) = own.held
             && self.may_go(own, step, now)
         {
-            return Some(Order::Go { epoch, step });
+            return Some(Due::Go(step));
         }
-        let change = self.change.as_ref().filter(|change| change.epoch == epoch);
+        let change = self.change.as_ref().filter(|change| change.epoch == own.epoch);
         if let Some(change) = change {
             let version = change.version;
             if own.prepared != Some(version) {
                 let waits = own.armed.is_some() || own.busy || change.map.0.is_empty();
-                let map = change.map.clone();
-                return (!waits).then_some(Order::Prepare { epoch, version, map });
+                return (!waits).then_some(Due::Prepare(version));
             }
             if let Some(step) = change.step {
                 let armed = Armed { version, step };
-                return (own.armed != Some(armed)).then_some(Order::Arm { epoch, armed });
+                return (own.armed != Some(armed)).then_some(Due::Arm(armed));
             }
         }
         let step = self.hold?;
-        (own.held.is_none()).then_some(Order::Hold { epoch, step })
+        (own.held.is_none()).then_some(Due::Hold(step))
     }
 
     /// Whether the held pass may begin: all ranks switch in it, or no rank can.
--- a/crates/agateflow/src/lockstep/coordinator.rs
+++ b/crates/agateflow/src/lockstep/coordinator.rs
@@ -30,11 +30,9 @@
 const VERSION_BITS: u32 = 16;
 
 impl Agent {
+    /// Sees to the change in preparation.
     pub(super) fn coordinate(&mut self, own: &Report, now: unit::Millis) {
-        let Some(change) = &self.change else {
-            self.begin(own, now);
-            return;
-        };
+        let Some(change) = &self.change else { return };
         if change.step.is_some() {
             return;
         }
@@ -64,7 +62,8 @@
         }
     }
 
-    fn begin(&mut self, own: &Report, now: unit::Millis) {
+    /// Plans a change where one pays.
+    pub(super) fn begin(&mut self, own: &Report, now: unit::Millis) {
         if now < self.ended + CHANGE_PAUSE || own.held.is_some() || own.armed.is_some() {
             return;
         }
--- a/crates/agateflowd/src/direct/rank.rs
+++ b/crates/agateflowd/src/direct/rank.rs
@@ -174,7 +174,7 @@
     /// Whether what was heard asks for an order.
     fn is_due(&mut self) -> bool {
         let now = self.now();
-        self.agent.clone().order(now).is_some()
+        self.agent.is_due(now)
     }
 
     /// Drops the messages that came while the process stood still: nothing tells their age.
