Bound a change's copies by the time that they take

Two experts a rank and change suited engines whose copies take 111 ms each; where they take 16 ms, a large group's map needed many changes to follow one shift. A change may now copy for 225 ms: two experts as before on the small sites, 13 on the grown ones. The bound is the product's, the platform only tells sizes.

--- a/crates/agateflow/src/lockstep/even/mod.rs
+++ b/crates/agateflow/src/lockstep/even/mod.rs
@@ -12,6 +12,10 @@
 use super::report::Map;
 use set::Set;
 
+/// Longest time in which a rank copies experts in one change, in milliseconds: demand shifts within
+/// seconds, and a group is slower while it copies.
+const COPY_TIME_MS: f64 = 225.0;
+
 /// Bounds of a map.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -24,6 +28,17 @@
     pub new_total: usize,
 }
 
+impl Bounds {
+    /// Bounds of maps of `sets` sets, where a rank takes `copy_ms` to copy an expert. A time that
+    /// is none says that copies take no time.
+    pub fn new(sets: usize, places: usize, new: usize, copy_ms: f64) -> Self {
+        let all = (sets * new).max(1);
+        let timely = if copy_ms > 0.0 { COPY_TIME_MS / copy_ms } else { f64::INFINITY };
+        let new_total = (timely as usize).clamp(1, all);
+        Self { places, new, new_total }
+    }
+}
+
 /// A planned map.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Plan {
--- a/crates/agateflow/tests/lockstep.rs
+++ b/crates/agateflow/tests/lockstep.rs
@@ -591,6 +591,22 @@
     }
 }
 
+#[rstest]
+#[case::slow_copies(4, 111.1, 2)]
+#[case::quick_copies(12, 16.4, 13)]
+#[case::copies_longer_than_a_change(4, 900.0, 1)]
+#[case::free_copies(4, 0.0, 8)]
+#[case::no_time(4, f64::NAN, 8)]
+fn copies_of_a_change_fit_into_its_time(
+    #[case] sets: usize,
+    #[case] copy_ms: f64,
+    #[case] expected: usize,
+) {
+    let bounds = Bounds::new(sets, 5, 2, copy_ms);
+
+    assert_eq!(bounds.new_total, expected);
+}
+
 #[test]
 fn plans_come_near_the_bound_where_one_expert_is_hot() {
     let shape = Bounds { places: 5, new: 2, new_total: 8 };
