--- a/crates/agateflow/src/direct/load.rs
+++ b/crates/agateflow/src/direct/load.rs
@@ -139,16 +139,29 @@
 
     /// Takes in the counts of another entry.
     pub fn report(&mut self, peer: &str, counts: IndexMap<id::Vm, u32>, now: unit::Millis) {
-        self.reports.insert(peer.into(), Report { at: now, counts });
-        self.sum(now);
+        for (vm, count) in &counts {
+            *self.others.entry(vm.clone()).or_default() += count;
+        }
+        let before = self.reports.insert(peer.into(), Report { at: now, counts });
+        self.subtract(before);
+        self.forget(now);
+    }
+
+    /// Takes out what was reported for too long.
+    fn forget(&mut self, now: unit::Millis) {
+        let old = |report: &Report| now >= report.at + REPORT_LIFE;
+        if !self.reports.values().any(old) {
+            return;
+        }
+        let old: Vec<Report> =
+            self.reports.extract_if(.., |_, report| old(report)).map(|(_, r)| r).collect();
+        self.subtract(old);
     }
 
-    fn sum(&mut self, now: unit::Millis) {
-        self.reports.retain(|_, report| now < report.at + REPORT_LIFE);
-        self.others.clear();
-        for report in self.reports.values() {
-            for (vm, count) in &report.counts {
-                *self.others.entry(vm.clone()).or_default() += count;
+    fn subtract(&mut self, reports: impl IntoIterator<Item = Report>) {
+        for (vm, count) in reports.into_iter().flat_map(|report| report.counts) {
+            if let Some(sum) = self.others.get_mut(&vm) {
+                *sum = sum.saturating_sub(count);
             }
         }
     }
@@ -181,6 +194,7 @@
     /// Forgets upstreams that `keep` does not hold for and that have nothing in progress.
     pub fn retain(&mut self, keep: impl Fn(&id::Vm) -> bool) {
         self.records.retain(|vm, record| record.own > 0 || keep(vm));
+        self.others.retain(|_, count| *count > 0);
     }
 
     /// Chooses among the upstreams with about the fewest requests the one with the fewest of this
--- a/crates/agateflow/tests/direct.rs
+++ b/crates/agateflow/tests/direct.rs
@@ -320,6 +320,22 @@
     assert_eq!(choice, expected);
 }
 
+#[test]
+fn counts_of_other_entries_are_replaced_and_forgotten() {
+    let counts = |u: u32, v: u32| IndexMap::from([(vm("u"), u), (vm("v"), v)]);
+    let mut load = Load::new();
+
+    load.report("a", counts(2, 1), ms(0));
+    load.report("b", counts(3, 0), ms(500));
+    load.report("a", counts(1, 4), ms(600));
+    assert_eq!((load.active(&vm("u")), load.active(&vm("v"))), (4, 4));
+
+    load.report("a", counts(1, 4), ms(2_499));
+    assert_eq!((load.active(&vm("u")), load.active(&vm("v"))), (4, 4));
+    load.report("a", counts(1, 4), ms(2_500));
+    assert_eq!((load.active(&vm("u")), load.active(&vm("v"))), (1, 4), "b is silent for 2 s");
+}
+
 fn item(priority: u8, arrived: u64) -> Item {
     Item { priority, arrived: ms(arrived), timely: ms(arrived + 300), latest: ms(arrived + 1_000) }
 }
