Follow a store that comes back from an older copy

An entry took its old revision for one of the new store's and would miss what it wrote again; entries that the copy lacks were removed at once, and leaving or gone upstreams that it lists came back. Entries tell each other which lifetime leaves, so old news does not concern the next one.

--- a/crates/agateflow/src/direct/directory.rs
+++ b/crates/agateflow/src/direct/directory.rs
@@ -2,7 +2,12 @@
 //!
 //! Entries of the registry lapse while it is away. After such a time a removal is believed only
 //! once the registry was back for [`RETURN_TIME`], in which upstreams that live register again.
+//!
+//! The registry may come back from an older copy: what it lists then may be out of date. An
+//! upstream that was known to leave still leaves, and one that was known to be gone counts as gone
+//! until it registers again.
 
+use std::fmt;
 use std::net::SocketAddr;
 
 use indexmap::IndexMap;
@@ -13,6 +18,43 @@
 /// Time within which upstreams that live are listed again after the registry came back.
 pub const RETURN_TIME: unit::Millis = unit::Millis::new(2_000);
 
+/// Time for which upstreams that are gone are remembered: an entry in an older copy lapses sooner.
+const GONE_LIFE: unit::Millis = unit::Millis::new(30_000);
+
+/// A revision of the registry. Numbers are given out again after it came back from an older copy,
+/// which begins a new era.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Revision {
+    /// How often the registry came back from a copy.
+    pub era: u64,
+    /// Number of the change; zero before the first one.
+    pub number: u64,
+}
+
+impl Revision {
+    /// The revision with that number in an era.
+    pub const fn new(era: u64, number: u64) -> Self {
+        Self { era, number }
+    }
+}
+
+impl fmt::Display for Revision {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.era, self.number)
+    }
+}
+
+/// One lifetime of an upstream.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Lifetime {
+    /// The upstream.
+    pub vm: id::Vm,
+    /// When it started.
+    pub born: u64,
+}
+
 /// Whether an upstream takes new requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -47,6 +89,13 @@
     pub rank: Option<Rank>,
 }
 
+impl Upstream {
+    /// The lifetime that is listed.
+    pub fn lifetime(&self) -> Lifetime {
+        Lifetime { vm: self.vm.clone(), born: self.born }
+    }
+}
+
 /// A place in a lock-step group.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -76,9 +125,10 @@
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
     entries: IndexMap<id::Vm, Entry>,
-    revision: u64,
+    revision: Revision,
     returned: Option<unit::Millis>,
     away: bool,
+    gone: IndexMap<Lifetime, unit::Millis>,
 }
 
 impl Directory {
@@ -88,7 +138,7 @@
     }
 
     /// Revision of the registry that the directory reflects.
-    pub const fn revision(&self) -> u64 {
+    pub const fn revision(&self) -> Revision {
         self.revision
     }
 
@@ -111,16 +161,18 @@
         !self.away && self.returned.is_none_or(|at| now >= at + RETURN_TIME)
     }
 
+    /// The registry came back from an older copy: upstreams that it does not list may live.
+    pub const fn restore(&mut self, now: unit::Millis) {
+        self.away = false;
+        self.returned = Some(now);
+    }
+
     /// Takes in one piece of news as of `revision`.
-    pub fn apply(&mut self, change: Change, revision: u64, now: unit::Millis) {
+    pub fn apply(&mut self, change: Change, revision: Revision, now: unit::Millis) {
         self.revision = self.revision.max(revision);
         match change {
-            Change::Listed(upstream) => {
-                self.entries.insert(upstream.vm.clone(), Entry { upstream, lapsed: false });
-            }
-            Change::Removed(vm) if self.is_settled(now) => {
-                self.entries.swap_remove(&vm);
-            }
+            Change::Listed(upstream) => self.list(upstream),
+            Change::Removed(vm) if self.is_settled(now) => self.remove(&vm, now),
             Change::Removed(vm) => {
                 if let Some(entry) = self.entries.get_mut(&vm) {
                     entry.lapsed = true;
@@ -129,28 +181,58 @@
         }
     }
 
+    /// An upstream that leaves does so for the rest of its lifetime.
+    fn list(&mut self, mut upstream: Upstream) {
+        self.gone.swap_remove(&upstream.lifetime());
+        let known = self.entries.get(&upstream.vm).map(|entry| &entry.upstream);
+        let leaves = known
+            .is_some_and(|known| known.born == upstream.born && known.state == State::Draining);
+        if leaves {
+            upstream.state = State::Draining;
+        }
+        self.entries.insert(upstream.vm.clone(), Entry { upstream, lapsed: false });
+    }
+
+    fn remove(&mut self, vm: &id::Vm, now: unit::Millis) {
+        if let Some(entry) = self.entries.swap_remove(vm) {
+            self.gone.insert(entry.upstream.lifetime(), now);
+        }
+    }
+
     /// Takes in the whole list as of `revision`.
-    pub fn replace(&mut self, listed: Vec<Upstream>, revision: u64, now: unit::Millis) {
+    pub fn replace(&mut self, listed: Vec<Upstream>, revision: Revision, now: unit::Millis) {
         let names: Vec<id::Vm> = self.entries.keys().cloned().collect();
         for vm in names {
             if !listed.iter().any(|upstream| upstream.vm == vm) {
                 self.apply(Change::Removed(vm), revision, now);
             }
         }
+        // In an older copy, what is gone is listed until it lapses there.
+        let settled = self.is_settled(now);
         for upstream in listed {
-            self.apply(Change::Listed(upstream), revision, now);
+            if settled || !self.gone.contains_key(&upstream.lifetime()) {
+                self.apply(Change::Listed(upstream), revision, now);
+            }
         }
     }
 
     /// Marks upstreams as leaving that another entry knows to leave.
-    pub fn drain(&mut self, leaving: &[id::Vm]) {
-        for vm in leaving {
-            if let Some(entry) = self.entries.get_mut(vm) {
+    pub fn drain(&mut self, leaving: &[Lifetime]) {
+        for lifetime in leaving {
+            if let Some(entry) = self.entries.get_mut(&lifetime.vm)
+                && entry.upstream.born == lifetime.born
+            {
                 entry.upstream.state = State::Draining;
             }
         }
     }
 
+    /// Upstreams that are leaving.
+    pub fn draining(&self) -> Vec<Lifetime> {
+        let draining = self.iter().filter(|upstream| upstream.state == State::Draining);
+        draining.map(Upstream::lifetime).collect()
+    }
+
     /// Drops the entries that lapsed and were not listed again in time.
     pub fn tick(&mut self, now: unit::Millis) -> Vec<id::Vm> {
         if !self.is_settled(now) {
@@ -158,7 +240,10 @@
         }
         let lapsed = self.entries.iter().filter(|(_, entry)| entry.lapsed);
         let gone: Vec<id::Vm> = lapsed.map(|(vm, _)| vm.clone()).collect();
-        self.entries.retain(|_, entry| !entry.lapsed);
+        for vm in &gone {
+            self.remove(vm, now);
+        }
+        self.gone.retain(|_, at| now < *at + GONE_LIFE);
         gone
     }
 
--- a/crates/agateflow/src/direct/peer.rs
+++ b/crates/agateflow/src/direct/peer.rs
@@ -5,7 +5,7 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
-use super::directory::Upstream;
+use super::directory::{Lifetime, Revision, Upstream};
 use super::{config, suspect};
 use crate::lockstep::agent;
 use crate::lockstep::report::{Plan, Status};
@@ -68,7 +68,7 @@
     /// Version of its configuration; zero before it knows one.
     pub config: u64,
     /// Revision of the registry that its directory reflects.
-    pub directory: u64,
+    pub directory: Revision,
     /// Whether it is about to end.
     pub leaving: bool,
     /// Requests that it has at upstreams.
@@ -76,7 +76,7 @@
     /// Highest cost of late of a request at services of engines, against the cost model's.
     pub costs: IndexMap<id::Service, f64>,
     /// Upstreams that are leaving.
-    pub draining: Vec<id::Vm>,
+    pub draining: Vec<Lifetime>,
     /// Crashes that it saw lately.
     pub crashes: Vec<suspect::Crash>,
     /// Addresses of entries that it knows.
@@ -92,7 +92,7 @@
     /// The upstreams listed.
     pub upstreams: Vec<Upstream>,
     /// Revision of the registry that the list reflects.
-    pub directory: u64,
+    pub directory: Revision,
 }
 
 #[derive(Clone, Debug)]
@@ -101,7 +101,6 @@
     added: unit::Millis,
     leaving: bool,
     config: u64,
-    directory: u64,
 }
 
 /// The entries known.
@@ -125,7 +124,7 @@
         if address == self.own {
             return;
         }
-        let peer = Peer { heard: None, added: now, leaving: false, config: 0, directory: 0 };
+        let peer = Peer { heard: None, added: now, leaving: false, config: 0 };
         self.peers.entry(address).or_insert(peer);
     }
 
@@ -147,7 +146,6 @@
         peer.heard = Some(now);
         peer.leaving = heartbeat.leaving;
         peer.config = heartbeat.config;
-        peer.directory = heartbeat.directory;
         was_away
     }
 
--- a/crates/agateflow/src/event.rs
+++ b/crates/agateflow/src/event.rs
@@ -103,6 +103,8 @@
     611 SettingsRead Info "settings read again";
     /// The settings could not be read again; the last good ones stay.
     612 SettingsUnreadable Error "settings not readable";
+    /// A source of the platform came back from an older copy.
+    613 SourceRestored Warning "source restored from a copy";
     /// The agent of a rank began a change of the expert map.
     620 MapPlanned Info "expert map planned";
     /// An expert map is in use.
--- a/crates/agateflow/tests/direct.rs
+++ b/crates/agateflow/tests/direct.rs
@@ -9,14 +9,14 @@
 use agateflow::direct::config::{
     Config, Engine, Kind, Limits, Route, Service, Table, Target, Team,
 };
-use agateflow::direct::directory::{Change, Directory, State, Upstream};
+use agateflow::direct::directory::{Change, Directory, Lifetime, Revision, State, Upstream};
 use agateflow::direct::events::{Error, Splitter};
 use agateflow::direct::load::{Ask, Choice, Health, Load};
 use agateflow::direct::outage::Outage;
 use agateflow::direct::pace::Pace;
 use agateflow::direct::peer::{self, Heartbeat};
 use agateflow::direct::queue::{Item, Queue};
-use agateflow::direct::suspect::{Crash, Fingerprint, Lifetime, Register};
+use agateflow::direct::suspect::{self, Crash, Fingerprint, Register};
 use agateflow::id;
 use agateflow::unit::{Bytes, Micros, Millis};
 use indexmap::IndexMap;
@@ -29,6 +29,10 @@
     Millis::new(number)
 }
 
+fn rev(number: u64) -> Revision {
+    Revision::new(0, number)
+}
+
 fn vm(name: &str) -> id::Vm {
     id::Vm::new(name).unwrap()
 }
@@ -133,9 +137,9 @@
 #[test]
 fn removal_is_believed_at_once_while_the_registry_answers() {
     let mut directory = Directory::new();
-    directory.apply(Change::Listed(upstream("u")), 1, ms(0));
+    directory.apply(Change::Listed(upstream("u")), rev(1), ms(0));
 
-    directory.apply(Change::Removed(vm("u")), 2, ms(10));
+    directory.apply(Change::Removed(vm("u")), rev(2), ms(10));
 
     assert!(directory.get(&vm("u")).is_none());
 }
@@ -143,13 +147,13 @@
 #[test]
 fn upstreams_that_lapsed_with_the_registry_serve_until_it_was_back_for_a_while() {
     let mut directory = Directory::new();
-    directory.apply(Change::Listed(upstream("alive")), 1, ms(0));
-    directory.apply(Change::Listed(upstream("dead")), 1, ms(0));
+    directory.apply(Change::Listed(upstream("alive")), rev(1), ms(0));
+    directory.apply(Change::Listed(upstream("dead")), rev(1), ms(0));
     directory.lose();
     directory.regain(ms(5_000));
-    directory.replace(Vec::new(), 9, ms(5_000));
+    directory.replace(Vec::new(), rev(9), ms(5_000));
     assert!(directory.get(&vm("alive")).is_some());
-    directory.apply(Change::Listed(upstream("alive")), 10, ms(6_000));
+    directory.apply(Change::Listed(upstream("alive")), rev(10), ms(6_000));
 
     let early = directory.tick(ms(6_900));
     let gone = directory.tick(ms(7_000));
@@ -159,12 +163,46 @@
     assert!(directory.get(&vm("alive")).is_some());
 }
 
+#[test]
+fn registry_that_is_restored_from_a_copy_brings_nothing_back_and_removes_nothing_that_lives() {
+    let draining = || Upstream { state: State::Draining, ..upstream("leaves") };
+    let mut directory = Directory::new();
+    for listed in [upstream("leaves"), upstream("gone"), upstream("late")] {
+        directory.apply(Change::Listed(listed), rev(1), ms(0));
+    }
+    directory.apply(Change::Listed(draining()), rev(2), ms(10));
+    directory.apply(Change::Removed(vm("gone")), rev(3), ms(20));
+
+    directory.restore(ms(5_000));
+    let copy = vec![upstream("leaves"), upstream("gone")];
+    directory.replace(copy, Revision::new(1, 1), ms(5_000));
+
+    assert!(directory.get(&vm("leaves")).is_none(), "it leaves for all its lifetime");
+    assert!(directory.get(&vm("gone")).is_none(), "only the copy lists it");
+    assert!(directory.get(&vm("late")).is_some(), "it may register again");
+    assert_eq!(directory.revision(), Revision::new(1, 1));
+    directory.apply(Change::Listed(upstream("gone")), Revision::new(1, 2), ms(5_500));
+    assert!(directory.get(&vm("gone")).is_some(), "it registered again");
+    assert_eq!(directory.tick(ms(7_000)), [vm("late")]);
+}
+
+#[test]
+fn stale_news_of_a_leaving_upstream_does_not_concern_its_next_lifetime() {
+    let mut directory = Directory::new();
+    let next = Upstream { born: 2, ..upstream("u") };
+    directory.apply(Change::Listed(next), rev(1), ms(0));
+
+    directory.drain(&[Lifetime { vm: vm("u"), born: 1 }]);
+
+    assert!(directory.get(&vm("u")).is_some());
+}
+
 #[test]
 fn upstream_that_leaves_is_not_chosen() {
     let mut directory = Directory::new();
-    directory.apply(Change::Listed(upstream("u")), 1, ms(0));
+    directory.apply(Change::Listed(upstream("u")), rev(1), ms(0));
 
-    directory.drain(&[vm("u")]);
+    directory.drain(&[Lifetime { vm: vm("u"), born: 1 }]);
 
     assert!(directory.get(&vm("u")).is_none());
     assert_eq!(directory.ready(&service("s")).count(), 0);
@@ -457,7 +495,7 @@
 #[test]
 fn request_that_crashed_three_upstreams_is_refused_until_it_runs_well() {
     let request = Fingerprint::new("t", "POST", "/a", b"body");
-    let crash = |name| Crash { request, upstream: Lifetime::new(name, 1) };
+    let crash = |name| Crash { request, upstream: suspect::Lifetime::new(name, 1) };
     let mut register = Register::new();
     for name in ["a", "a", "b"] {
         register.crash(crash(name), ms(0));
@@ -485,7 +523,7 @@
         vm: vm("e"),
         address: address.parse().unwrap(),
         config,
-        directory: 1,
+        directory: rev(1),
         leaving: false,
         counts: IndexMap::new(),
         costs: IndexMap::new(),
--- a/crates/agateflowd/src/direct/entry.rs
+++ b/crates/agateflowd/src/direct/entry.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Instant;
 
-use agateflow::direct::directory::{Change, Directory, Upstream};
+use agateflow::direct::directory::{Change, Directory, Revision, Upstream};
 use agateflow::direct::load::Load;
 use agateflow::direct::{budget, config, peer, suspect};
 use agateflow::event::Event;
@@ -142,14 +142,14 @@
     }
 
     /// Takes in news of one upstream.
-    pub fn list(self: &Rc<Self>, change: Change, revision: u64) {
+    pub fn list(self: &Rc<Self>, change: Change, revision: Revision) {
         match &change {
             Change::Listed(upstream) => event!(self.logger, Event::UpstreamListed;
                 "upstream" => %upstream.vm, "service" => %upstream.service,
                 "address" => %upstream.address, "state" => ?upstream.state, "open" => upstream.open,
-                "revision" => revision),
+                "revision" => %revision),
             Change::Removed(vm) => event!(self.logger, Event::UpstreamRemoved;
-                "upstream" => %vm, "revision" => revision),
+                "upstream" => %vm, "revision" => %revision),
         }
         let now = self.now();
         self.directory.borrow_mut().apply(change, revision, now);
@@ -158,9 +158,9 @@
     }
 
     /// Takes in the whole list of upstreams.
-    pub fn list_all(self: &Rc<Self>, upstreams: Vec<Upstream>, revision: u64, source: &str) {
+    pub fn list_all(self: &Rc<Self>, upstreams: Vec<Upstream>, revision: Revision, source: &str) {
         event!(self.logger, Event::DirectoryRead; "upstreams" => upstreams.len(),
-            "revision" => revision, "source" => source);
+            "revision" => %revision, "source" => source);
         let now = self.now();
         self.directory.borrow_mut().replace(upstreams, revision, now);
         self.pump_all();
@@ -169,7 +169,7 @@
     /// Whether the entry can serve and is not about to end.
     pub fn is_ready(&self) -> bool {
         self.table.borrow().is_some()
-            && self.directory.borrow().revision() > 0
+            && self.directory.borrow().revision().number > 0
             && !self.is_leaving()
     }
 
--- a/crates/agateflowd/src/direct/follow.rs
+++ b/crates/agateflowd/src/direct/follow.rs
@@ -46,7 +46,7 @@
     if let Some(ahead) = peers.ahead(entry.version(), now) {
         return Some(ahead);
     }
-    let empty = entry.directory.borrow().revision() == 0;
+    let empty = entry.directory.borrow().revision().number == 0;
     let present = peers.present(now);
     (empty && !present.is_empty()).then(|| present[turn % present.len()])
 }
--- a/crates/agateflowd/src/direct/gossip.rs
+++ b/crates/agateflowd/src/direct/gossip.rs
@@ -4,7 +4,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use agateflow::direct::directory::State;
 use agateflow::direct::peer;
 use agateflow::event::Event;
 use tokio::net::UdpSocket;
@@ -51,7 +50,6 @@
 
 fn heartbeat(entry: &Entry) -> peer::Heartbeat {
     let directory = entry.directory.borrow();
-    let draining = directory.iter().filter(|upstream| upstream.state == State::Draining);
     let mut known = entry.peers.borrow().present(entry.now());
     known.truncate(MAX_KNOWN);
     peer::Heartbeat {
@@ -62,7 +60,7 @@
         leaving: entry.is_leaving(),
         counts: entry.load.borrow().counts(),
         costs: entry.high_factors(),
-        draining: draining.map(|upstream| upstream.vm.clone()).collect(),
+        draining: directory.draining(),
         crashes: entry.crashes(),
         known,
     }
--- a/crates/agateflowd/src/direct/send.rs
+++ b/crates/agateflowd/src/direct/send.rs
@@ -76,7 +76,7 @@
             "upstream" => %upstream.vm, "service" => %self.request.service,
             "active" => place.active, "fullest" => place.fullest, "limit" => place.limit,
             "factor" => place.factor, "version" => self.request.table.version(),
-            "directory" => self.entry.directory.borrow().revision(),
+            "directory" => %self.entry.directory.borrow().revision(),
             "waited" => %waited, "reused" => reused);
         self.in_flight.set(true);
         let answer = self.await_head(&mut channel, send).await;
--- a/crates/agateflowd/tests/direct.rs
+++ b/crates/agateflowd/tests/direct.rs
@@ -12,7 +12,7 @@
 
 use agateflow::direct::budget::Bounds;
 use agateflow::direct::config::{Config, Kind, Limits, Route, Service, Target, Team};
-use agateflow::direct::directory::{Change, State, Upstream};
+use agateflow::direct::directory::{Change, Revision, State, Upstream};
 use agateflow::id;
 use agateflow::unit::{Bytes, Millis};
 use agateflowd::direct::edge::{Answer, Ask, Dialect, Forward};
@@ -258,7 +258,7 @@
         let (closed, watch) = watch::channel(false);
         task::spawn_local(server::run(entry.clone(), listener, watch));
         for script in scripts {
-            entry.list(Change::Listed(listed(script, State::Ready)), 1);
+            entry.list(Change::Listed(listed(script, State::Ready)), Revision::new(0, 1));
         }
         entry.configure(config(1), "test");
         Self { entry, callers, closed }
@@ -504,7 +504,7 @@
         let start = fleet.call("/stream/", "1");
         let list = async {
             time::sleep(Duration::from_millis(10)).await;
-            fleet.entry.list(Change::Listed(listed(&second, State::Ready)), 2);
+            fleet.entry.list(Change::Listed(listed(&second, State::Ready)), Revision::new(0, 2));
         };
 
         let (got, ()) = tokio::join!(start, list);
@@ -556,7 +556,7 @@
     run(async {
         let up = Script::start("u", vec![Act::Send(answer("1", "x"))]).await;
         let fleet = Fleet::start(&[&up]);
-        fleet.entry.list(Change::Listed(listed(&up, State::Draining)), 2);
+        fleet.entry.list(Change::Listed(listed(&up, State::Draining)), Revision::new(0, 2));
 
         let got = fleet.call("/safe/", "1").await;
 
