Share the room that ranks have left among entries that choose at once

Cause: all entries see the same counts, some 0.1 s old, and each sends to the ranks with the fewest requests: 36 entries filled a rank that had a place free, or came back, before its count showed it. The class: many deciding at once by the same stale state. Nine entries did it as well, less.

Change: an entry compares some ranks at random, fewer the more entries there are, and while little room is left it takes its part of it in the time that counts need to be known.

Evidence, tests/heavy.rs, one run each: fullest rank against its limit, nine times of ten, 1.91 and 3.04 before (16 ranks with 9 entries, 72 with 36), 1.22 and 1.39 after; the new test failed before.

--- a/crates/agateflow/src/direct/load.rs
+++ b/crates/agateflow/src/direct/load.rs
@@ -26,8 +26,11 @@
 /// of sound upstreams stay below.
 const FAILING_SHARE: f64 = 0.45;
 
-/// Requests by which an upstream may have more than the one with the fewest to be chosen as well.
-const SPREAD: u32 = 2;
+/// Requests of all entries that may go to the emptiest upstream before its count shows them.
+const CROWD: usize = 2;
+
+/// Fewest upstreams that are compared.
+const MIN_CHOICES: usize = 2;
 
 /// How an attempt ended, as far as the upstream's health is concerned.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -78,6 +81,8 @@
     pub tried: &'a [id::Vm],
     /// The entry's own data centre.
     pub near: &'a id::DataCentre,
+    /// Entries that choose at the same time.
+    pub entries: usize,
 }
 
 /// Load of upstreams.
@@ -197,8 +202,13 @@
         self.others.retain(|_, count| *count > 0);
     }
 
-    /// Chooses among the upstreams with about the fewest requests the one with the fewest of this
-    /// entry, of the own data centre among equals.
+    /// Requests that `upstreams` may have together by `limit` each, beyond those that they have.
+    pub fn room<'a>(&self, upstreams: impl Iterator<Item = &'a Upstream>, limit: f64) -> f64 {
+        upstreams.filter(|u| u.open).map(|u| limit - f64::from(self.active(&u.vm))).sum()
+    }
+
+    /// Chooses the upstream with the fewest requests among some at random. All entries choose at
+    /// the same time by counts as old: the one with the fewest of all would get those of all.
     pub fn choose<'a>(
         &self,
         upstreams: impl Iterator<Item = &'a Upstream>,
@@ -218,22 +228,17 @@
         let sound: Vec<&Upstream> =
             untried.iter().filter(|u| !self.is_avoided(&u.vm, now)).copied().collect();
         let pool = if sound.is_empty() { untried } else { sound };
-        let least = pool.iter().map(|upstream| self.active(&upstream.vm)).min().unwrap_or(0);
-        if f64::from(least) + 0.5 > ask.limit {
-            return Choice::Full;
-        }
-        // Other entries choose at the same time by counts as old: the one with the fewest requests
-        // would get those of all. What this entry itself has there is exact.
-        let near_least = |u: &&Upstream| self.active(&u.vm) <= least + SPREAD;
         let fits = |u: &&Upstream| f64::from(self.active(&u.vm)) + 0.5 <= ask.limit;
-        let pool: Vec<&Upstream> = pool.into_iter().filter(near_least).filter(fits).collect();
-        let rank = |u: &Upstream| (self.own(&u.vm), u.data_centre != *ask.near);
-        let best = pool.iter().map(|upstream| rank(upstream)).min();
-        let equal: Vec<&Upstream> =
-            pool.into_iter().filter(|upstream| Some(rank(upstream)) == best).collect();
-        match equal.choose(rng) {
-            Some(upstream) => Choice::Send(upstream.vm.clone()),
-            None => Choice::None,
-        }
+        let pool: Vec<&Upstream> = pool.into_iter().filter(fits).collect();
+        let compared = choices(pool.len(), ask.entries);
+        let rank = |u: &Upstream| (self.active(&u.vm), self.own(&u.vm), u.data_centre != *ask.near);
+        let best = pool.choose_multiple(rng, compared).min_by_key(|upstream| rank(upstream));
+        best.map_or(Choice::Full, |upstream| Choice::Send(upstream.vm.clone()))
     }
 }
+
+/// Upstreams of `upstreams` that each of `entries` compares, so that about [`CROWD`] choose the
+/// emptiest at the same time.
+fn choices(upstreams: usize, entries: usize) -> usize {
+    (CROWD * upstreams).div_ceil(entries.max(1)).max(MIN_CHOICES)
+}
--- a/crates/agateflow/src/direct/mod.rs
+++ b/crates/agateflow/src/direct/mod.rs
@@ -12,4 +12,5 @@
 pub mod pace;
 pub mod peer;
 pub mod queue;
+pub mod share;
 pub mod suspect;
--- a/crates/agateflow/tests/direct.rs
+++ b/crates/agateflow/tests/direct.rs
@@ -307,7 +307,7 @@
 }
 
 fn ask<'a>(limit: f64, tried: &'a [id::Vm], near: &'a id::DataCentre) -> Ask<'a> {
-    Ask { limit, tried, near }
+    Ask { limit, tried, near, entries: 1 }
 }
 
 #[test]
--- a/crates/agateflow/tests/heavy.rs
+++ b/crates/agateflow/tests/heavy.rs
@@ -1,6 +1,6 @@
-//! A heavy day without a network: nine entries with counts of others that are 0.1 s old, sixteen
-//! ranks that pass together, and contents that shift every three seconds, so that experts are
-//! uneven until a new map is in use. The product's decisions play beside the usual ones, on the
+//! A heavy day without a network: entries with counts of others that are 0.1 s old, ranks that pass
+//! together, and contents that shift every three seconds, so that experts are uneven until a new
+//! map is in use. The product's decisions play beside the usual ones, on the
 //! same requests.
 
 #![allow(clippy::unwrap_used)]
@@ -10,6 +10,7 @@
 use agateflow::direct::load::{Ask, Choice, Load};
 use agateflow::direct::pace::Pace;
 use agateflow::direct::queue::{Item, Queue, Ticket};
+use agateflow::direct::share::Share;
 use agateflow::id;
 use agateflow::unit::{Micros, Millis};
 use indexmap::IndexMap;
@@ -17,23 +18,49 @@
 use rand_pcg::Pcg64Mcg;
 use rstest::rstest;
 
-const RANKS: usize = 16;
-const SLOTS: usize = 12;
-const ENGINE_QUEUE: usize = 24;
-const STRIDE: f64 = 4.0;
 const STEP_MS: f64 = 4.55;
-const REQUEST_MS: f64 = 0.905;
 const TOKENS_PER_MS: f64 = 61.4;
-const CHUNK: f64 = 2_048.0;
+/// Tokens of prompts that a rank reads in a step.
+const CHUNK: f64 = 512.0;
 /// Share of the work that is spread over the ranks that hold the experts.
 const EXPERT_SHARE: f64 = 0.85;
-const ENTRIES: usize = 9;
 const LENGTH_MS: u64 = 36_000;
 const OBJECTIVE_MS: u64 = 500;
-const PAUSE_MS: f64 = 120.0;
 const DEADLINE_MS: u64 = 8_000;
 const GOSSIP_MS: u64 = 100;
 
+/// Sizes of a deployment.
+#[derive(Clone, Copy, Debug)]
+struct Fleet {
+    entries: usize,
+    ranks: usize,
+    slots: usize,
+    engine_queue: usize,
+    stride: f64,
+    request_ms: f64,
+    pause_ms: f64,
+}
+
+const SMALL: Fleet = Fleet {
+    entries: 9,
+    ranks: 16,
+    slots: 12,
+    engine_queue: 24,
+    stride: 4.0,
+    request_ms: 0.905,
+    pause_ms: 120.0,
+};
+
+const LARGE: Fleet = Fleet {
+    entries: 36,
+    ranks: 72,
+    slots: 10,
+    engine_queue: 20,
+    stride: 5.0,
+    request_ms: 1.09,
+    pause_ms: 150.0,
+};
+
 /// How a request finds its rank.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Policy {
@@ -71,6 +98,7 @@
     queue: Queue,
     waiting: IndexMap<Ticket, Request>,
     pace: Option<Pace>,
+    share: Share,
 }
 
 /// What callers got.
@@ -90,6 +118,7 @@
 }
 
 struct Day {
+    fleet: Fleet,
     policy: Policy,
     rng: Pcg64Mcg,
     upstreams: Vec<Upstream>,
@@ -99,19 +128,21 @@
     back: Vec<(u64, Request)>,
     turn: usize,
     tally: Tally,
+    /// Requests at the fullest rank against its limit, at each look.
+    fullest: Vec<f64>,
 }
 
 fn vm(rank: usize) -> id::Vm {
     id::Vm::new(&format!("r{rank}")).unwrap()
 }
 
-fn upstream(rank: usize) -> Upstream {
+fn upstream(fleet: &Fleet, rank: usize) -> Upstream {
     Upstream {
         vm: vm(rank),
         address: "10.0.0.1:80".parse().unwrap(),
         service: id::Service::new("s").unwrap(),
         data_centre: id::DataCentre::new("a").unwrap(),
-        slots: SLOTS as u32,
+        slots: fleet.slots as u32,
         state: State::Ready,
         born: 1,
         open: true,
@@ -119,19 +150,20 @@
     }
 }
 
-fn engine() -> Engine {
+fn engine(fleet: &Fleet) -> Engine {
     Engine {
-        slots: SLOTS as u32,
-        stride: STRIDE as u32,
+        slots: fleet.slots as u32,
+        stride: fleet.stride as u32,
         step_ms: STEP_MS,
-        request_ms: REQUEST_MS,
+        request_ms: fleet.request_ms,
         form: Millis::new(600),
         shape: None,
     }
 }
 
-fn entry() -> Entry {
-    let pace = Pace::new(&engine(), Millis::new(PAUSE_MS as u64), None, Millis::ZERO);
+fn entry(fleet: &Fleet) -> Entry {
+    let pause = Millis::new(fleet.pause_ms as u64);
+    let pace = Pace::new(&engine(fleet), pause, None, Millis::ZERO);
     Entry { pace: Some(pace), ..Entry::default() }
 }
 
@@ -145,21 +177,23 @@
 }
 
 impl Day {
-    fn new(policy: Policy, seed: u64) -> Self {
+    fn new(fleet: Fleet, policy: Policy, seed: u64) -> Self {
         Self {
+            fleet,
             policy,
             rng: Pcg64Mcg::seed_from_u64(seed),
-            upstreams: (0..RANKS).map(upstream).collect(),
-            names: (0..RANKS).map(vm).collect(),
-            entries: (0..ENTRIES).map(|_| entry()).collect(),
-            ranks: (0..RANKS).map(|_| Vec::new()).collect(),
+            upstreams: (0..fleet.ranks).map(|rank| upstream(&fleet, rank)).collect(),
+            names: (0..fleet.ranks).map(vm).collect(),
+            entries: (0..fleet.entries).map(|_| entry(&fleet)).collect(),
+            ranks: (0..fleet.ranks).map(|_| Vec::new()).collect(),
             back: Vec::new(),
             turn: 0,
             tally: Tally::default(),
+            fullest: Vec::new(),
         }
     }
 
-    fn play(mut self, requests: &[Request]) -> Tally {
+    fn play(mut self, requests: &[Request]) -> Self {
         let mut coming = requests.iter().cloned().peekable();
         let mut pass_end = 0.0;
         let mut pass_started = false;
@@ -184,10 +218,19 @@
                 pass_started = true;
             }
             if now % 10 == 0 {
-                (0..ENTRIES).for_each(|entry| self.pump(entry, now));
+                (0..self.fleet.entries).for_each(|entry| self.pump(entry, now));
+            }
+            if now % GOSSIP_MS == 0 {
+                self.look();
             }
         }
-        self.tally
+        self
+    }
+
+    fn look(&mut self) {
+        let fullest = self.ranks.iter().map(Vec::len).max().unwrap_or(0) as f64;
+        let limits = self.entries.iter().filter_map(|entry| entry.pace.as_ref().map(Pace::limit));
+        self.fullest.push(fullest / limits.fold(0.0, f64::max));
     }
 
     fn ask(&mut self, request: Request, now: u64) {
@@ -195,11 +238,12 @@
             Policy::Product | Policy::FirstCome => self.wait(request, now),
             Policy::LeastInFlight => {
                 let load = &self.entries[request.entry].load;
-                let least = (0..RANKS).map(|rank| (load.active(&self.names[rank]), rank)).min();
+                let least =
+                    (0..self.fleet.ranks).map(|rank| (load.active(&self.names[rank]), rank)).min();
                 self.send(request, least.unwrap().1, now);
             }
             Policy::RoundRobin => {
-                self.turn = (self.turn + 1) % RANKS;
+                self.turn = (self.turn + 1) % self.fleet.ranks;
                 self.send(request, self.turn, now);
             }
         }
@@ -247,11 +291,16 @@
             let Some(ticket) = entry.queue.first(at) else { return };
             let limit = match self.policy {
                 Policy::Product => entry.pace.as_ref().unwrap().limit(),
-                _ => SLOTS as f64,
+                _ => self.fleet.slots as f64,
             };
-            let ask = Ask { limit, tried: &[], near: &near };
+            let entries = self.fleet.entries;
+            let ask = Ask { limit, tried: &[], near: &near, entries };
             let choice = entry.load.choose(self.upstreams.iter(), &ask, &mut self.rng, at);
             let Choice::Send(chosen) = choice else { return };
+            let room = entry.load.room(self.upstreams.iter(), limit);
+            if self.policy == Policy::Product && !entry.share.take(room, entries, at) {
+                return;
+            }
             entry.queue.serve(ticket, at);
             let request = entry.waiting.swap_remove(&ticket).unwrap();
             let rank = self.names.iter().position(|name| *name == chosen).unwrap();
@@ -260,7 +309,7 @@
     }
 
     fn send(&mut self, request: Request, rank: usize, now: u64) {
-        if self.ranks[rank].len() >= SLOTS + ENGINE_QUEUE {
+        if self.ranks[rank].len() >= self.fleet.slots + self.fleet.engine_queue {
             self.refuse(request, 250, now);
             return;
         }
@@ -300,33 +349,33 @@
         let mut own: f64 = 0.0;
         let mut sum = 0.0;
         for rank in &mut self.ranks {
-            let mut room = CHUNK;
+            let mut room = CHUNK * self.fleet.stride;
             let mut work = 0.0;
-            for stream in rank.iter_mut().take(SLOTS) {
+            for stream in rank.iter_mut().take(self.fleet.slots) {
                 if stream.unread > 0.0 {
                     let read = stream.unread.min(room);
                     stream.unread -= read;
                     room -= read;
                     work += read / TOKENS_PER_MS;
                 } else {
-                    work += STRIDE * REQUEST_MS;
+                    work += self.fleet.stride * self.fleet.request_ms;
                 }
             }
             own = own.max(work);
             sum += work;
         }
-        let even = sum / RANKS as f64;
+        let even = sum / self.fleet.ranks as f64;
         let experts = EXPERT_SHARE * unevenness(now) * even;
-        STRIDE * STEP_MS + (1.0 - EXPERT_SHARE) * own + experts
+        self.fleet.stride * STEP_MS + (1.0 - EXPERT_SHARE) * own + experts
     }
 
     fn end_pass(&mut self, at: f64, now: u64) {
-        for rank in 0..RANKS {
+        for rank in 0..self.fleet.ranks {
             let mut streams = std::mem::take(&mut self.ranks[rank]);
             let mut place = 0;
             streams.retain_mut(|stream| {
                 place += 1;
-                place > SLOTS || self.step(stream, rank, at, now)
+                place > self.fleet.slots || self.step(stream, rank, at, now)
             });
             self.ranks[rank].extend(streams);
         }
@@ -343,7 +392,7 @@
             let entry = &mut self.entries[stream.request.entry];
             let active: u32 = self.names.iter().map(|name| entry.load.active(name)).sum();
             let pause = Micros::new((pause * 1_000.0) as u64);
-            let mean = f64::from(active) / RANKS as f64;
+            let mean = f64::from(active) / self.fleet.ranks as f64;
             entry.pace.as_mut().unwrap().record(pause, mean, Millis::new(now));
         }
         stream.first.get_or_insert(at);
@@ -355,7 +404,7 @@
         }
         self.entries[stream.request.entry].load.end(&self.names[rank]);
         let first = stream.first.unwrap_or(at) - stream.request.arrived as f64;
-        match (over, first <= OBJECTIVE_MS as f64 && stream.longest <= PAUSE_MS) {
+        match (over, first <= OBJECTIVE_MS as f64 && stream.longest <= self.fleet.pause_ms) {
             (true, _) => {}
             (false, true) => self.tally.timely += 1.0,
             (false, false) => self.tally.late += 1.0,
@@ -365,7 +414,7 @@
 }
 
 /// The requests of a day, `per_s` a second, at entries of unequal weight.
-fn requests(seed: u64, per_s: f64) -> Vec<Request> {
+fn requests(fleet: &Fleet, seed: u64, per_s: f64) -> Vec<Request> {
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
     let mut at = 0.0;
     let mut requests = Vec::new();
@@ -374,17 +423,18 @@
         let spread = |rng: &mut Pcg64Mcg| -rng.random::<f64>().ln();
         let prompt = (spread(&mut rng) * 800.0).clamp(40.0, 2_800.0);
         let events = (spread(&mut rng) * 20.0 + 5.0).min(60.0) as u32;
-        let entry = rng.random_range(0..ENTRIES * 2) % (ENTRIES + 3) % ENTRIES;
+        let entry = rng.random_range(0..fleet.entries * 2) % (fleet.entries + 3) % fleet.entries;
         requests.push(Request { arrived: at as u64, entry, prompt, events, refusals: 0 });
     }
     requests
 }
 
-fn mean(policy: Policy, per_s: f64) -> Tally {
-    const SEEDS: u64 = 2;
+fn mean(fleet: Fleet, policy: Policy, per_s: f64) -> Tally {
+    // A large fleet has enough requests in one day.
+    let seeds = if fleet.ranks > SMALL.ranks { 1 } else { 2 };
     let mut sum = Tally::default();
-    for seed in 0..SEEDS {
-        let tally = Day::new(policy, seed).play(&requests(seed, per_s));
+    for seed in 0..seeds {
+        let tally = Day::new(fleet, policy, seed).play(&requests(&fleet, seed, per_s)).tally;
         sum.asked += tally.asked;
         sum.timely += tally.timely;
         sum.late += tally.late;
@@ -394,16 +444,18 @@
 }
 
 #[rstest]
-#[case::calm(40.0)]
-#[case::heavy(80.0)]
-#[case::more_than_fits(95.0)]
-#[case::far_more(110.0)]
-fn callers_get_more_than_from_the_usual_ways(#[case] per_s: f64) {
-    let product = mean(Policy::Product, per_s);
+#[case::calm(SMALL, 40.0)]
+#[case::heavy(SMALL, 80.0)]
+#[case::more_than_fits(SMALL, 95.0)]
+#[case::far_more(SMALL, 110.0)]
+#[case::large_heavy(LARGE, 300.0)]
+#[case::large_more_than_fits(LARGE, 400.0)]
+fn callers_get_more_than_from_the_usual_ways(#[case] fleet: Fleet, #[case] per_s: f64) {
+    let product = mean(fleet, Policy::Product, per_s);
     println!("{per_s}/s Product {:.3} {product:?}", product.worth());
 
     for policy in [Policy::LeastInFlight, Policy::RoundRobin, Policy::FirstCome] {
-        let other = mean(policy, per_s);
+        let other = mean(fleet, policy, per_s);
         println!("{per_s}/s {policy:?} {:.3} {other:?}", other.worth());
         assert!(
             product.worth() >= other.worth() - 0.005,
@@ -413,3 +465,19 @@
         );
     }
 }
+
+#[rstest]
+#[case::small(SMALL, 95.0)]
+#[case::large(LARGE, 400.0)]
+fn no_rank_gets_half_more_than_its_limit_from_entries_that_choose_at_once(
+    #[case] fleet: Fleet,
+    #[case] per_s: f64,
+) {
+    let day = Day::new(fleet, Policy::Product, 1).play(&requests(&fleet, 1, per_s));
+
+    let mut fullest = day.fullest;
+    fullest.sort_by(f64::total_cmp);
+    let most_often = fullest[fullest.len() * 9 / 10];
+    println!("fullest rank against its limit, nine times of ten: {most_often:.2}");
+    assert!(most_often < 1.5, "{most_often:.2} times its limit");
+}
--- a/crates/agateflowd/src/direct/place.rs
+++ b/crates/agateflowd/src/direct/place.rs
@@ -7,6 +7,7 @@
 use agateflow::direct::outage::Outage;
 use agateflow::direct::pace::Pace;
 use agateflow::direct::queue::{Item, Queue, Ticket};
+use agateflow::direct::share::Share;
 use agateflow::direct::{config, directory};
 use agateflow::{id, unit};
 use indexmap::IndexMap;
@@ -34,6 +35,7 @@
     /// Whether its group of ranks is closed.
     pub outage: Outage,
     queue: Queue,
+    share: Share,
     form: unit::Millis,
     waiters: IndexMap<Ticket, Waiter>,
 }
@@ -125,6 +127,7 @@
             pace: None,
             outage: Outage::default(),
             queue: Queue::new(),
+            share: Share::new(),
             form: unit::Millis::ZERO,
             waiters: IndexMap::new(),
         });
@@ -148,7 +151,7 @@
         match choice {
             Choice::None => return Err(Refusal::NoUpstream(NO_UPSTREAM_RETRY)),
             Choice::Closed => return Err(self.closed(&wish.service)),
-            Choice::Send(vm) if !waits => {
+            Choice::Send(vm) if !waits && self.may_add(&wish.service) => {
                 if let Some(place) = self.occupy(&wish.service, &vm) {
                     return Ok(place);
                 }
@@ -243,11 +246,25 @@
         drop(services);
         let directory = self.directory.borrow();
         let limit = self.limit(service, &directory);
-        let ask = Ask { limit, tried, near: &self.options.data_centre };
+        let entries = self.entries();
+        let ask = Ask { limit, tried, near: &self.options.data_centre, entries };
         let mut rng = self.rng.borrow_mut();
         self.load.borrow().choose(directory.ready(service), &ask, &mut *rng, now)
     }
 
+    /// Whether this entry may add a request to those of `service`'s ranks, which other entries add
+    /// to at the same time.
+    fn may_add(&self, service: &id::Service) -> bool {
+        let now = self.now();
+        let entries = self.entries();
+        let directory = self.directory.borrow();
+        let limit = self.limit(service, &directory);
+        let room = self.load.borrow().room(directory.ready(service), limit);
+        let mut services = self.services.borrow_mut();
+        let Some(service) = services.get_mut(service) else { return true };
+        service.pace.is_none() || service.share.take(room, entries, now)
+    }
+
     /// Requests that an upstream of `service` may have.
     fn limit(&self, service: &id::Service, directory: &directory::Directory) -> f64 {
         let services = self.services.borrow();
@@ -290,8 +307,8 @@
         self.expire(service, now);
         while let Some((ticket, tried)) = self.first(service, now) {
             let place = match self.choose(service, &tried) {
-                Choice::Send(vm) => self.occupy(service, &vm),
-                Choice::Full => None,
+                Choice::Send(vm) if self.may_add(service) => self.occupy(service, &vm),
+                Choice::Send(_) | Choice::Full => None,
                 Choice::Closed | Choice::None => {
                     self.leave(service, ticket);
                     continue;
