Name four known entries in a heartbeat, others each time

A heartbeat of 36 entries named all others, 245 bytes of about 600, ten times a second to each. Who is new is still known to all within a second; the table of entries needs no more.

--- a/crates/agateflowd/src/direct/gossip.rs
+++ b/crates/agateflowd/src/direct/gossip.rs
@@ -21,13 +21,13 @@
 /// Largest heartbeat that is read, in bytes.
 const MAX_BYTES: usize = 16_384;
 
-/// Addresses of other entries that a heartbeat carries.
-const MAX_KNOWN: usize = 64;
+/// Addresses of other entries that a heartbeat carries, others each time.
+const KNOWN: usize = 4;
 
 /// Sends heartbeats, at once where there is news.
 pub async fn send(entry: Rc<Entry>, socket: Rc<UdpSocket>) {
-    loop {
-        let heartbeat = heartbeat(&entry);
+    for turn in 0.. {
+        let heartbeat = heartbeat(&entry, turn);
         match postcard::to_stdvec(&peer::Message::Entry(heartbeat)) {
             Ok(bytes) => send_all(&entry, &socket, &bytes),
             Err(error) => {
@@ -48,10 +48,11 @@
     }
 }
 
-fn heartbeat(entry: &Entry) -> peer::Heartbeat {
+fn heartbeat(entry: &Entry, turn: usize) -> peer::Heartbeat {
     let directory = entry.directory.borrow();
-    let mut known = entry.peers.borrow().present(entry.now());
-    known.truncate(MAX_KNOWN);
+    let present = entry.peers.borrow().present(entry.now());
+    let first = KNOWN * turn;
+    let known = (first..first + present.len().min(KNOWN)).map(|index| index % present.len());
     peer::Heartbeat {
         vm: entry.options.vm.clone(),
         address: entry.options.peers,
@@ -62,7 +63,7 @@
         costs: entry.high_factors(),
         draining: directory.draining(),
         crashes: entry.crashes(),
-        known,
+        known: known.map(|index| present[index]).collect(),
     }
 }
 
