Let a caller that came back wait for a closed group to open

What callers saw: while a data centre is cut off its group of ranks is closed for six seconds; who was refused came back after the time told, was refused again and had no further try.

A stream whose caller has used a tenth of the route's time cannot come back once more: it now waits for the group to open for as long as callers stay (1.7 s) and is then refused. A first call is still refused at once.

--- a/crates/agateflow/src/direct/share.rs
+++ b/crates/agateflow/src/direct/share.rs
@@ -8,11 +8,8 @@
 /// Time after which the other entries know what this one has sent.
 const REPORT_TIME: unit::Millis = unit::Millis::new(100);
 
-/// Room for each entry above which they do not crowd one another.
-const AMPLE_ROOM: f64 = 3.0;
-
-/// Part of the room that an entry keeps while it sends nothing, in requests.
-const MAX_CREDIT: f64 = 1.0;
+/// Least room that an entry saves up while it sends nothing, in requests.
+const LEAST_CREDIT: f64 = 1.0;
 
 /// How much of the room the entry may take now.
 #[derive(Clone, Copy, Debug)]
@@ -24,18 +21,15 @@
 impl Share {
     /// Starts with the share of an entry that has sent nothing for a while.
     pub const fn new() -> Self {
-        Self { credit: MAX_CREDIT, at: unit::Millis::ZERO }
+        Self { credit: LEAST_CREDIT, at: unit::Millis::ZERO }
     }
 
     /// Takes room for one request, if the entry's part of `room` has it. `entries` share the room.
     pub fn take(&mut self, room: f64, entries: usize, now: unit::Millis) -> bool {
-        let part = room / entries.max(1) as f64;
+        let part = (room / entries.max(1) as f64).max(0.0);
         let age = now.saturating_sub(self.at).get() as f64 / REPORT_TIME.get() as f64;
-        self.credit = (self.credit + part.max(0.0) * age).min(MAX_CREDIT);
+        self.credit = (self.credit + part * age).min(part.max(LEAST_CREDIT));
         self.at = now;
-        if part >= AMPLE_ROOM {
-            return true;
-        }
         let taken = room > 0.0 && self.credit >= 1.0;
         if taken {
             self.credit -= 1.0;
--- a/crates/agateflowd/src/direct/place.rs
+++ b/crates/agateflowd/src/direct/place.rs
@@ -24,6 +24,8 @@
 struct Waiter {
     grant: oneshot::Sender<Place>,
     tried: Box<[id::Vm]>,
+    /// Whether it waits for a closed group to open.
+    patient: bool,
 }
 
 /// Queue and limits of one service.
@@ -49,6 +51,9 @@
     pub item: Item,
     /// Upstreams that the request was sent to already.
     pub tried: Vec<id::Vm>,
+    /// Instant up to which it waits for a closed group to open; nothing if its caller can still come
+    /// back later.
+    pub opens_by: Option<unit::Millis>,
 }
 
 /// Why there is no place.
@@ -150,13 +155,13 @@
         let choice = self.choose(&wish.service, &wish.tried);
         match choice {
             Choice::None => return Err(Refusal::NoUpstream(NO_UPSTREAM_RETRY)),
-            Choice::Closed => return Err(self.closed(&wish.service)),
+            Choice::Closed if wish.opens_by.is_none() => return Err(self.closed(&wish.service)),
             Choice::Send(vm) if !waits && self.may_add(&wish.service) => {
                 if let Some(place) = self.occupy(&wish.service, &vm) {
                     return Ok(place);
                 }
             }
-            Choice::Send(_) | Choice::Full => {}
+            Choice::Send(_) | Choice::Full | Choice::Closed => {}
         }
         self.wait(wish).await
     }
@@ -213,11 +218,13 @@
             let Some(service) = services.get_mut(&wish.service) else {
                 return Err(Refusal::NoUpstream(NO_UPSTREAM_RETRY));
             };
-            let Some(ticket) = service.queue.push(wish.item, now) else {
+            let latest = wish.item.latest.max(wish.opens_by.unwrap_or(unit::Millis::ZERO));
+            let Some(ticket) = service.queue.push(Item { latest, ..wish.item }, now) else {
                 return Err(Refusal::Busy(service.queue.retry_after(wish.item.priority)));
             };
             let tried = wish.tried.clone().into();
-            service.waiters.insert(ticket, Waiter { grant, tried });
+            let patient = wish.opens_by.is_some();
+            service.waiters.insert(ticket, Waiter { grant, tried, patient });
             ticket
         };
         let _waiting = Waiting { entry: self.clone(), service: wish.service.clone(), ticket };
@@ -309,7 +316,11 @@
             let place = match self.choose(service, &tried) {
                 Choice::Send(vm) if self.may_add(service) => self.occupy(service, &vm),
                 Choice::Send(_) | Choice::Full => None,
-                Choice::Closed | Choice::None => {
+                Choice::Closed => {
+                    self.send_away(service);
+                    return;
+                }
+                Choice::None => {
                     self.leave(service, ticket);
                     continue;
                 }
@@ -353,6 +364,18 @@
         }
     }
 
+    /// Sends away who does not wait for the closed group of `service` to open.
+    fn send_away(&self, service: &id::Service) {
+        let mut services = self.services.borrow_mut();
+        let Some(service) = services.get_mut(service) else { return };
+        let impatient = service.waiters.iter().filter(|(_, waiter)| !waiter.patient);
+        let tickets: Vec<Ticket> = impatient.map(|(&ticket, _)| ticket).collect();
+        for ticket in tickets {
+            service.queue.remove(ticket);
+            service.waiters.shift_remove(&ticket);
+        }
+    }
+
     fn expire(&self, service: &id::Service, now: unit::Millis) {
         if let Some(service) = self.services.borrow_mut().get_mut(service) {
             for ticket in service.queue.expire(now) {
--- a/crates/agateflowd/src/direct/send.rs
+++ b/crates/agateflowd/src/direct/send.rs
@@ -34,6 +34,9 @@
 /// Share of a stream's objective up to which its start in the queue is timely, in tenths.
 const TIMELY_TENTHS: u64 = 6;
 
+/// Share of a route's time below which a caller has waited already, in tenths.
+const RETURNED_TENTHS: u64 = 9;
+
 /// Longest wait for a place, as a multiple of the objective.
 const LATEST_OBJECTIVES: u64 = 2;
 
@@ -114,9 +117,20 @@
                 latest: latest.min(self.request.deadline),
             },
             tried: self.tried.clone(),
+            opens_by: self.opens_by(),
         }
     }
 
+    /// A caller that has waited already, or has little time, cannot come back once more: for it,
+    /// the last chance is that a closed group opens while it stays.
+    fn opens_by(&self) -> Option<unit::Millis> {
+        let route = &self.request.route;
+        let left = self.request.deadline.saturating_sub(self.request.arrived);
+        let returned = left.get() * 10 < route.timeout.get() * RETURNED_TENTHS;
+        let until = (self.request.arrived + SILENT_STREAM).min(self.request.deadline);
+        (route.kind.is_stream() && returned).then_some(until)
+    }
+
     /// The request as it goes to `upstream`, which must still take requests.
     fn message(&mut self, upstream: &Upstream) -> Result<http::Request<Full<Bytes>>, Stop> {
         let now = self.entry.now();
--- a/crates/agateflowd/tests/direct.rs
+++ b/crates/agateflowd/tests/direct.rs
@@ -516,6 +516,34 @@
     });
 }
 
+#[rstest]
+#[case::can_come_back("", 503, 0)]
+#[case::came_back("time: 1500\r\n", 200, 1)]
+fn only_a_caller_that_cannot_come_back_waits_for_a_closed_group(
+    #[case] header: &str,
+    #[case] status: u16,
+    #[case] runs: usize,
+) {
+    run(async {
+        let whole = stream_head("1") + &chunk("id: 1\ndata: a\n\n") + "0\r\n\r\n";
+        let up = Script::start("u", vec![Act::Send(whole)]).await;
+        let fleet = Fleet::start(&[]);
+        let closed = Upstream { open: false, ..listed(&up, State::Ready) };
+        fleet.entry.list(Change::Listed(closed), Revision::new(0, 2));
+        let request = get("/stream/", "1").replace("key: k\r\n", &format!("key: k\r\n{header}"));
+        let mut caller = fleet.connect().await;
+        caller.write_all(request.as_bytes()).await.unwrap();
+        time::sleep(Duration::from_millis(150)).await;
+
+        let open = listed(&up, State::Ready);
+        fleet.entry.list(Change::Listed(open), Revision::new(0, 3));
+        let got = read_all(&mut caller).await;
+
+        assert!(got.starts_with(&format!("HTTP/1.1 {status}")), "{got}");
+        assert_eq!(up.seen(), runs);
+    });
+}
+
 #[test]
 fn stream_that_cannot_go_on_does_not_look_complete() {
     run(async {
