--- a/crates/agateflowd/src/direct/place.rs
+++ b/crates/agateflowd/src/direct/place.rs
@@ -51,9 +51,8 @@
     pub item: Item,
     /// Upstreams that the request was sent to already.
     pub tried: Vec<id::Vm>,
-    /// Instant up to which it waits for a closed group to open; nothing if its caller can still come
-    /// back later.
-    pub opens_by: Option<unit::Millis>,
+    /// Whether it waits for a closed group to open, as its caller cannot come back later.
+    pub is_last_chance: bool,
 }
 
 /// Why there is no place.
@@ -155,7 +154,7 @@
         let choice = self.choose(&wish.service, &wish.tried);
         match choice {
             Choice::None => return Err(Refusal::NoUpstream(NO_UPSTREAM_RETRY)),
-            Choice::Closed if wish.opens_by.is_none() => return Err(self.closed(&wish.service)),
+            Choice::Closed if !wish.is_last_chance => return Err(self.closed(&wish.service)),
             Choice::Send(vm) if !waits && self.may_add(&wish.service) => {
                 if let Some(place) = self.occupy(&wish.service, &vm) {
                     return Ok(place);
@@ -218,12 +217,11 @@
             let Some(service) = services.get_mut(&wish.service) else {
                 return Err(Refusal::NoUpstream(NO_UPSTREAM_RETRY));
             };
-            let latest = wish.item.latest.max(wish.opens_by.unwrap_or(unit::Millis::ZERO));
-            let Some(ticket) = service.queue.push(Item { latest, ..wish.item }, now) else {
+            let Some(ticket) = service.queue.push(wish.item, now) else {
                 return Err(Refusal::Busy(service.queue.retry_after(wish.item.priority)));
             };
             let tried = wish.tried.clone().into();
-            let patient = wish.opens_by.is_some();
+            let patient = wish.is_last_chance;
             service.waiters.insert(ticket, Waiter { grant, tried, patient });
             ticket
         };
--- a/crates/agateflowd/src/direct/send.rs
+++ b/crates/agateflowd/src/direct/send.rs
@@ -117,18 +117,16 @@
                 latest: latest.min(self.request.deadline),
             },
             tried: self.tried.clone(),
-            opens_by: self.opens_by(),
+            is_last_chance: self.is_last_chance(),
         }
     }
 
-    /// A caller that has waited already, or has little time, cannot come back once more: for it,
-    /// the last chance is that a closed group opens while it stays.
-    fn opens_by(&self) -> Option<unit::Millis> {
+    /// Whether the caller has waited already, or has little time: it cannot come back once more, so
+    /// its last chance is that a closed group opens while it waits.
+    fn is_last_chance(&self) -> bool {
         let route = &self.request.route;
         let left = self.request.deadline.saturating_sub(self.request.arrived);
-        let returned = left.get() * 10 < route.timeout.get() * RETURNED_TENTHS;
-        let until = (self.request.arrived + SILENT_STREAM).min(self.request.deadline);
-        (route.kind.is_stream() && returned).then_some(until)
+        route.kind.is_stream() && left.get() * 10 < route.timeout.get() * RETURNED_TENTHS
     }
 
     /// The request as it goes to `upstream`, which must still take requests.
--- a/crates/agateflowd/tests/direct.rs
+++ b/crates/agateflowd/tests/direct.rs
@@ -528,6 +528,9 @@
         let whole = stream_head("1") + &chunk("id: 1\ndata: a\n\n") + "0\r\n\r\n";
         let up = Script::start("u", vec![Act::Send(whole)]).await;
         let fleet = Fleet::start(&[]);
+        let slow =
+            Route { objective: Millis::new(800), ..route("/stream/", Kind::ResumableStream) };
+        fleet.entry.configure(Config { routes: vec![slow], ..config(2) }, "test");
         let closed = Upstream { open: false, ..listed(&up, State::Ready) };
         fleet.entry.list(Change::Listed(closed), Revision::new(0, 2));
         let request = get("/stream/", "1").replace("key: k\r\n", &format!("key: k\r\n{header}"));
