--- a/crates/agateflow/src/lockstep/agent.rs
+++ b/crates/agateflow/src/lockstep/agent.rs
@@ -7,7 +7,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::demand::Demand;
-use super::report::{Armed, Change, Choices, Map, Order, Plan, Report, Status};
+use super::note::Note;
+use super::report::{Armed, Change, Choices, Order, Plan, Report, Status};
 use super::{even, takeover};
 use crate::unit;
 
@@ -72,55 +73,6 @@
     Go(u64),
 }
 
-/// What the agent is doing, for logs.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Note {
-    /// A change was planned.
-    Planned {
-        /// Its version.
-        version: u64,
-        /// Load of the most loaded ranks, with the present map.
-        before: f64,
-        /// The same with the planned map.
-        after: f64,
-        /// Load that no map can go below.
-        bound: f64,
-        /// Most experts that are new to a rank.
-        copies: usize,
-        /// Ranks' loads that were worked out for it.
-        work: usize,
-    },
-    /// A change is in use.
-    Done {
-        /// Its version.
-        version: u64,
-    },
-    /// A hold without a known change was found.
-    Orphan {
-        /// The held pass.
-        step: u64,
-    },
-}
-
-/// What an agent knows of its group, for logs.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct View {
-    /// Ranks of the group.
-    pub size: u32,
-    /// Agents heard lately, the own one included.
-    pub heard: usize,
-    /// Age of the oldest status.
-    pub oldest: unit::Millis,
-    /// Version of the own rank's map.
-    pub map: u64,
-    /// Version of the change in progress.
-    pub change: Option<u64>,
-    /// Ranks that are known to have prepared it.
-    pub prepared: usize,
-    /// Its held pass.
-    pub step: Option<u64>,
-}
-
 /// The agent of one rank.
 #[derive(Clone, Debug)]
 pub struct Agent {
@@ -308,26 +260,6 @@
         lower.min_by_key(|(rank, _)| **rank).map(|(_, known)| known.status.address)
     }
 
-    /// What is known of the group, for logs.
-    pub fn view(&self, now: unit::Millis) -> Option<View> {
-        let (own, _) = self.report.as_ref()?;
-        let ages = self.others.values().map(|known| now.saturating_sub(known.heard));
-        let prepared = |change: &Change| {
-            let reports = self.others.values().map(|known| &known.status.report);
-            let reports = reports.chain([&**own]);
-            reports.filter(|report| report.prepared == Some(change.version)).count()
-        };
-        Some(View {
-            size: own.size,
-            heard: ages.clone().filter(|age| *age < STATUS_LIFE).count() + 1,
-            oldest: ages.max().unwrap_or(unit::Millis::ZERO),
-            map: own.map,
-            change: self.change.as_ref().map(|change| change.version),
-            prepared: self.change.as_ref().map_or(0, prepared),
-            step: self.change.as_ref().and_then(|change| change.step),
-        })
-    }
-
     /// Whether this is the lowest rank whose agent is heard.
     pub fn is_coordinator(&self, now: unit::Millis) -> bool {
         self.report.is_some() && self.coordinator(now).is_none()
@@ -427,72 +359,4 @@
         let step = self.hold?;
         (own.held.is_none()).then_some(Due::Hold(step))
     }
-
-    /// Whether the held pass may begin: all ranks switch in it, or no rank can.
-    fn may_go(&self, own: &Report, step: u64, now: unit::Millis) -> bool {
-        let Some(reports) = self.all(own) else { return false };
-        let armed = own.armed.filter(|armed| armed.step == step);
-        if let Some(armed) = armed
-            && reports.iter().all(|(report, _)| report.armed == Some(armed))
-        {
-            return true;
-        }
-        if self.change.as_ref().is_some_and(|change| change.step == Some(step)) {
-            return false;
-        }
-        if self.hold == Some(step) {
-            return false;
-        }
-        // Decided before; the order may have been lost.
-        if self.released == Some(step) {
-            return true;
-        }
-        // No arm can be on its way: it is only ever ordered once all ranks were prepared, and a
-        // rank stays prepared within a form of the group. Reports from before the hold don't show
-        // that.
-        let since = self.found.filter(|(found, _)| *found == step).map_or(now, |(_, at)| at);
-        let fresh = self.others.values().all(|known| known.read >= since)
-            && reports.iter().all(|(_, heard)| now < *heard + REPORT_LIFE);
-        let prepared = Self::prepared_by_all(&reports);
-        fresh && prepared.is_none() && reports.iter().all(|(report, _)| report.armed.is_none())
-    }
-
-    /// Reports of all ranks in the group's present form, or nothing if one is missing.
-    pub(super) fn all<'a>(&'a self, own: &'a Report) -> Option<Vec<(&'a Report, unit::Millis)>> {
-        let own_heard = self.report.as_ref().map(|(_, at)| *at)?;
-        let others = self.others.values().filter(|known| known.status.report.epoch == own.epoch);
-        let others = others.map(|known| (&known.status.report, known.heard));
-        let all: Vec<_> = others.chain([(own, own_heard)]).collect();
-        (all.len() == own.size as usize).then_some(all)
-    }
-
-    /// The version that all ranks have prepared and none uses yet.
-    pub(super) fn prepared_by_all(reports: &[(&Report, unit::Millis)]) -> Option<u64> {
-        let version = reports.first()?.0.prepared?;
-        let all = reports.iter().all(|(r, _)| r.prepared == Some(version) && r.map < version);
-        all.then_some(version)
-    }
-
-    /// Finds the change that a hold belongs to, if its agent started again or hears of it late.
-    fn recover_hold(&mut self, own: &Report, step: u64, now: unit::Millis) {
-        let known = self.change.as_ref().is_some_and(|change| change.step == Some(step));
-        // One that was let begin may do so at any time.
-        if known || self.hold == Some(step) || self.released == Some(step) {
-            return;
-        }
-        let Some(reports) = self.all(own) else { return };
-        let armed = reports.iter().find_map(|(report, _)| report.armed);
-        let version = match armed.filter(|armed| armed.step == step) {
-            Some(armed) => Some(armed.version),
-            None => Self::prepared_by_all(&reports),
-        };
-        let Some(version) = version else { return };
-        self.notes.push(Note::Orphan { step });
-        let map = match &self.change {
-            Some(change) if change.version == version => change.map.clone(),
-            _ => Map::default(),
-        };
-        self.change = Some(Change { epoch: own.epoch, version, map, step: Some(step) });
-        self.ended = now;
-    }
 }
--- a/crates/agateflow/src/lockstep/coordinator.rs
+++ b/crates/agateflow/src/lockstep/coordinator.rs
@@ -1,8 +1,9 @@
 //! What the agent of the lowest rank heard does beside its own rank's orders: it plans changes of
 //! the map and chooses the pass that is held.
 
-use super::agent::{Agent, Note, REPORT_LIFE, Shape};
+use super::agent::{Agent, REPORT_LIFE, Shape};
 use super::even;
+use super::note::Note;
 use super::report::{Change, Map, Report};
 use crate::unit;
 
--- a/crates/agateflow/src/lockstep/mod.rs
+++ b/crates/agateflow/src/lockstep/mod.rs
@@ -19,6 +19,8 @@
 mod coordinator;
 pub mod demand;
 pub mod even;
+mod hold;
+pub mod note;
 pub mod report;
 pub mod takeover;
 pub mod tell;
--- a/crates/agateflow/src/lockstep/takeover.rs
+++ b/crates/agateflow/src/lockstep/takeover.rs
@@ -4,8 +4,9 @@
 //! until that pass begins. So it does not matter who arms a rank, nor who lets the pass begin once
 //! all ranks are armed. Nothing else is done for another agent.
 
-use super::agent::{Agent, Known, Note, STATUS_LIFE};
+use super::agent::{Agent, Known, STATUS_LIFE};
 use super::audience::LEADERS;
+use super::note::Note;
 use super::report::{Armed, Order, Report};
 use crate::unit;
 
--- a/crates/agateflow/tests/lockstep_large.rs
+++ b/crates/agateflow/tests/lockstep_large.rs
@@ -6,8 +6,9 @@
 
 use agateflow::direct::peer;
 use agateflow::id;
-use agateflow::lockstep::agent::{Agent, Note, Shape};
+use agateflow::lockstep::agent::{Agent, Shape};
 use agateflow::lockstep::even::Bounds;
+use agateflow::lockstep::note::Note;
 use agateflow::lockstep::report::{Armed, Map, Order, Report};
 use agateflow::lockstep::tell::{self, Content, Message, Teller};
 use agateflow::unit::Millis;
--- a/crates/agateflowd/src/direct/rank.rs
+++ b/crates/agateflowd/src/direct/rank.rs
@@ -6,7 +6,8 @@
 
 use agateflow::direct::peer::{Hello, Members, Message};
 use agateflow::event::Event;
-use agateflow::lockstep::agent::{Agent, Note};
+use agateflow::lockstep::agent::Agent;
+use agateflow::lockstep::note::Note;
 use agateflow::lockstep::report::{Order, Report};
 use agateflow::lockstep::tell::{self, Teller};
 use agateflow::{id, unit};
