Send a change's map to agents that started again after their ranks prepared

What callers would have seen: no further change of the map for as long as the group lives, once an agent had started again while a change was prepared; passes as slow as the last map makes them.

Cause: who has the map left out agents whose ranks show the change as prepared. One that starts again knows no change, and plans none while others tell of one.

--- a/crates/agateflow/src/lockstep/agent.rs
+++ b/crates/agateflow/src/lockstep/agent.rs
@@ -53,10 +53,14 @@
 }
 
 impl Known {
-    /// Whether the agent told that it has the map of that version.
+    /// Whether the agent told of the change with that version.
+    pub(super) fn follows(&self, version: u64) -> bool {
+        self.status.change.as_ref().is_some_and(|change| change.version == version)
+    }
+
+    /// Whether it told that it has its map.
     pub(super) fn has_map(&self, version: u64) -> bool {
-        let told = self.status.change.as_ref().map(|change| change.version);
-        self.status.has_map && told == Some(version)
+        self.status.has_map && self.follows(version)
     }
 }
 
--- a/crates/agateflow/src/lockstep/audience.rs
+++ b/crates/agateflow/src/lockstep/audience.rs
@@ -108,8 +108,10 @@
         if heard().any(|(other, known)| *other < rank && known.has_map(change.version)) {
             return None;
         }
+        // An agent that started again needs the change, even where its rank has prepared it.
         let lacks = |known: &Known| {
-            !known.has_map(change.version) && known.status.report.prepared != Some(change.version)
+            let prepared = known.status.report.prepared == Some(change.version);
+            !(known.has_map(change.version) || prepared && known.follows(change.version))
         };
         let lacking = heard().filter(|(_, known)| lacks(known));
         Some((change, lacking.map(|(_, known)| known.status.address).collect()))
--- a/crates/agateflow/tests/lockstep.rs
+++ b/crates/agateflow/tests/lockstep.rs
@@ -13,7 +13,8 @@
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
 
-const RANKS: usize = 4;
+/// Twice as many as are told at once what is new.
+const RANKS: usize = 6;
 const SHAPE: Shape =
     Shape { sets: 2, experts: 8, bounds: Bounds { places: 3, new: 2, new_total: 4 } };
 /// Time of a pass, in ticks of 10 ms.
@@ -553,6 +554,21 @@
     assert_eq!(agent.order(Millis::new(60)), go);
 }
 
+#[test]
+fn change_goes_on_where_agents_started_again_after_their_ranks_prepared() {
+    for ticks in (20..80).step_by(5) {
+        let mut world = World::new(7, Faults::default());
+        world.run(ticks).unwrap();
+        for rank in [0, 3] {
+            world.agents[rank] = None;
+        }
+
+        world.run(600).unwrap();
+
+        assert!(world.changes > 1, "no change in 6 s, killed at tick {ticks}");
+    }
+}
+
 #[test]
 fn hold_of_a_killed_agent_is_resolved_by_its_successor() {
     let mut world = World::new(3, Faults::default());
