Drop a change of the map that a rank can no longer prepare

What callers would have seen: as with an agent that starts again, no further change of the map. Cause: two agents that plan at the same time; a rank that has prepared the later change refuses the earlier one, and once the later one is lost with the agents that had its map, the earlier one is waited for without end. All agents see such a rank and now drop the change.

--- a/crates/agateflow/src/lockstep/agent.rs
+++ b/crates/agateflow/src/lockstep/agent.rs
@@ -192,7 +192,7 @@
     fn adopt(&mut self, change: Change) {
         self.top = self.top.max(change.version);
         let Some((own, _)) = &self.report else { return };
-        if change.epoch != own.epoch || change.version <= own.map {
+        if change.epoch != own.epoch || change.version <= own.map || self.is_overtaken(&change) {
             return;
         }
         match &mut self.change {
@@ -224,11 +224,21 @@
         self.change.as_ref().is_some_and(|change| prepared == Some(change.version))
     }
 
-    /// Forgets a change that is in use or belongs to another form of the group.
+    /// Whether a rank can no longer prepare `change`, as it had a later one.
+    fn is_overtaken(&self, change: &Change) -> bool {
+        let others = self.others.values().map(|known| &known.status.report);
+        let own = self.report.iter().map(|(own, _)| &**own);
+        let mut reports = others.chain(own).filter(|report| report.epoch == change.epoch);
+        let later = |report: &Report| report.prepared.max(Some(report.map)) > Some(change.version);
+        change.step.is_none() && reports.any(later)
+    }
+
+    /// Forgets a change that is in use, cannot come into use any more or belongs to another form of
+    /// the group.
     pub(super) fn settle(&mut self, now: unit::Millis) {
         let Some((own, _)) = &self.report else { return };
         let Some(change) = &self.change else { return };
-        if change.epoch != own.epoch {
+        if change.epoch != own.epoch || self.is_overtaken(change) {
             self.change = None;
             self.hold = None;
             self.ended = now;
--- a/crates/agateflow/tests/lockstep.rs
+++ b/crates/agateflow/tests/lockstep.rs
@@ -569,6 +569,27 @@
     }
 }
 
+#[test]
+fn change_that_a_rank_can_no_longer_prepare_does_not_stop_later_ones() {
+    let mut world = World::new(7, Faults::default());
+    let planned = |world: &World| {
+        let status = world.agents[0].as_ref()?.status(false, Millis::new(world.now))?;
+        status.change.map(|change| change.version)
+    };
+    while planned(&world).is_none() {
+        world.run(1).unwrap();
+    }
+    // Of a change by another agent that planned at the same time and was lost with its map.
+    let later = planned(&world).unwrap() + 1_000;
+    world.ranks[5].copying = None;
+    world.ranks[5].prepared = Some((later, first_map()));
+    world.ranks[5].top = later;
+
+    world.run(600).unwrap();
+
+    assert!(world.changes > 1, "no change in 6 s");
+}
+
 #[test]
 fn hold_of_a_killed_agent_is_resolved_by_its_successor() {
     let mut world = World::new(3, Faults::default());
