Work out the room of ranks only for services of engines

Each request of a plain service, and each look at its queue, added up the room of all its upstreams and dropped the result; for engines the limit was looked up a second time.

--- a/crates/agateflowd/src/direct/place.rs
+++ b/crates/agateflowd/src/direct/place.rs
@@ -262,12 +262,13 @@
     fn may_add(&self, service: &id::Service) -> bool {
         let now = self.now();
         let entries = self.entries();
-        let directory = self.directory.borrow();
-        let limit = self.limit(service, &directory);
-        let room = self.load.borrow().room(directory.ready(service), limit);
         let mut services = self.services.borrow_mut();
-        let Some(service) = services.get_mut(service) else { return true };
-        service.pace.is_none() || service.share.take(room, entries, now)
+        let Some(Service { pace: Some(pace), share, .. }) = services.get_mut(service) else {
+            return true;
+        };
+        let directory = self.directory.borrow();
+        let room = self.load.borrow().room(directory.ready(service), pace.limit());
+        share.take(room, entries, now)
     }
 
     /// Requests that an upstream of `service` may have.
