--- a/crates/agateflow/src/direct/suspect.rs
+++ b/crates/agateflow/src/direct/suspect.rs
@@ -110,6 +110,11 @@
         self.suspects.shift_remove(&request);
     }
 
+    /// Number of crashes recorded against a request.
+    pub fn crashes(&self, request: Fingerprint) -> usize {
+        self.suspects.get(&request).map_or(0, |suspect| suspect.crashes.len())
+    }
+
     /// Whether the request must be refused.
     pub fn is_poison(&self, request: Fingerprint, now: unit::Millis) -> bool {
         let suspect = self.suspects.get(&request).filter(|s| now < s.last_crash + SUSPECT_TTL);
--- a/crates/agateflow/src/event.rs
+++ b/crates/agateflow/src/event.rs
@@ -145,6 +145,8 @@
     713 AnswerRejected Info "answer not taken";
     /// A group of ranks with requests has sent nothing for long; it is avoided.
     714 GroupStalled Warning "group of ranks stalled";
+    /// An upstream broke off before it answered a request, which may have crashed it.
+    715 CrashRecorded Warning "crash recorded against a request";
 }
 
 impl Event {
--- a/crates/agateflowd/src/direct/adapter.rs
+++ b/crates/agateflowd/src/direct/adapter.rs
@@ -17,6 +17,8 @@
     pub caller_timeout: Option<unit::Millis>,
     /// Last event of the stream that the caller received.
     pub last_event: Option<u64>,
+    /// Ids of the parts of the prompt that other requests may share, in order.
+    pub prompt_parts: Box<[Box<str>]>,
 }
 
 /// What an entry sends to an upstream along with a request.
--- a/crates/agateflowd/src/direct/call.rs
+++ b/crates/agateflowd/src/direct/call.rs
@@ -215,7 +215,7 @@
         let vm = permit.upstream.vm.clone();
         let Ok(body) = Limited::new(body, MAX_RESPONSE_BYTES).collect().await else {
             event!(self.entry.logger, Event::UpstreamFailed; "id" => &*self.request.info.id,
-                "upstream" => %vm, "reason" => "response incomplete or too long");
+                "upstream" => %vm, "reason" => "response incomplete or too long", "answered" => true);
             self.end_attempt(&permit.upstream, attempt::Outcome::Broken, Health::Bad);
             return Err(attempt::Outcome::Broken);
         };
--- a/crates/agateflowd/src/direct/entry.rs
+++ b/crates/agateflowd/src/direct/entry.rs
@@ -19,6 +19,7 @@
 use super::adapter::Dialect;
 use super::permit::Service;
 use super::pool::Pool;
+use super::request::Request;
 use crate::event;
 
 /// Latest crashes kept for heartbeats.
@@ -212,9 +213,12 @@
     }
 
     /// Records that `upstream` broke off while `request` ran.
-    pub fn record_crash(&self, request: suspect::Fingerprint, upstream: &Upstream) {
+    pub fn record_crash(&self, request: &Request, upstream: &Upstream) {
         let lifetime = suspect::Incarnation::new(upstream.vm.as_str(), upstream.started_at);
-        self.add_crash(suspect::Crash { request, upstream: lifetime });
+        self.add_crash(suspect::Crash { request: request.fingerprint, upstream: lifetime });
+        event!(self.logger, Event::CrashRecorded; "id" => &*request.info.id,
+            "upstream" => %upstream.vm, "parts" => request.info.prompt_parts.join(" "),
+            "crashes" => self.suspects.borrow().crashes(request.fingerprint));
     }
 
     /// Records a crash. A new one is passed on with the next heartbeats.
--- a/crates/agateflowd/src/direct/exchange.rs
+++ b/crates/agateflowd/src/direct/exchange.rs
@@ -96,7 +96,8 @@
             "active" => permit.active, "fullest" => permit.max_active, "limit" => permit.limit,
             "factor" => permit.cost_factor, "version" => self.request.table.version(),
             "directory" => %self.entry.directory.borrow().revision(),
-            "waited" => %waited, "reused" => reused);
+            "waited" => %waited, "reused" => reused,
+            "parts" => self.request.info.prompt_parts.join(" "));
         self.in_flight.set(true);
         let outcome = self.await_head(&mut connection, &upstream, upstream_request).await;
         let response = match outcome {
@@ -107,8 +108,8 @@
             }
             Err(Some(error @ pool::Error::Broken { .. })) => {
                 event!(self.entry.logger, Event::UpstreamFailed; "id" => &*self.request.info.id,
-                    "upstream" => %upstream.vm, "reason" => %error);
-                self.entry.record_crash(self.request.fingerprint, &upstream);
+                    "upstream" => %upstream.vm, "reason" => %error, "answered" => false);
+                self.entry.record_crash(&self.request, &upstream);
                 return Err(self.end_attempt(&upstream, attempt::Outcome::Broken, Health::Bad));
             }
             Err(None) => {
--- a/crates/agateflowd/src/direct/stream.rs
+++ b/crates/agateflowd/src/direct/stream.rs
@@ -64,6 +64,7 @@
         let mut source = Some((exchange.connection, exchange.permit));
         let mut splitter = Splitter::new(guard.call.last_event);
         let mut previous_event_at: Option<Instant> = None;
+        let mut began_at = Instant::now();
         let mut silent_since = time::Instant::now();
         loop {
             let upstream = source.as_ref().map(|(_, permit)| &permit.upstream);
@@ -97,10 +98,12 @@
                 }
             };
             splitter.discard_partial();
-            match resume(&mut guard.call, source.take(), &reason).await {
+            let answered = previous_event_at.is_some_and(|at| at > began_at);
+            match resume(&mut guard.call, source.take(), &reason, answered).await {
                 Some(exchange) => {
                     body = exchange.response.into_body();
                     silent_since = time::Instant::now();
+                    began_at = Instant::now();
                     source = Some((exchange.connection, exchange.permit));
                 }
                 None => {
@@ -190,12 +193,14 @@
     call: &mut Call,
     source: Option<(pool::Connection, Permit)>,
     reason: &str,
+    answered: bool,
 ) -> Option<Exchange> {
     if let Some((connection, permit)) = source {
         event!(call.entry.logger, Event::UpstreamFailed; "id" => &*call.request.info.id,
-            "upstream" => %permit.upstream.vm, "reason" => reason, "last_event" => call.last_event);
+            "upstream" => %permit.upstream.vm, "reason" => reason, "last_event" => call.last_event,
+            "answered" => answered);
         drop(connection);
-        call.entry.record_crash(call.request.fingerprint, &permit.upstream);
+        call.entry.record_crash(&call.request, &permit.upstream);
         call.end_attempt(&permit.upstream, attempt::Outcome::Broken, Health::Bad);
     }
     let deadline = call.entry.instant_at(call.request.deadline);
