--- a/crates/agateflowd/tests/direct.rs
+++ b/crates/agateflowd/tests/direct.rs
@@ -3,348 +3,23 @@
 
 #![allow(clippy::unwrap_used)]
 
-use std::cell::{Cell, RefCell};
-use std::future::Future;
-use std::net::SocketAddr;
-use std::rc::Rc;
-use std::sync::{Arc, Mutex};
+mod directenv;
+
 use std::time::{Duration, Instant};
 
-use agateflow::direct::budget;
-use agateflow::direct::config::{Config, Kind, Limits, Route, Service, Target, Team};
+use agateflow::direct::config::{Config, Kind, Route};
 use agateflow::direct::directory::{Change, Revision, State, Upstream};
-use agateflow::id;
-use agateflow::unit::{Bytes, Millis};
-use agateflowd::direct::adapter::{Dialect, Forward, Head, Verdict};
-use agateflowd::direct::entry::Options;
+use agateflow::unit::Millis;
 use agateflowd::direct::{Entry, server, socket};
 use agateflowd::log;
-use http::{HeaderMap, HeaderValue, StatusCode, request, response};
+use directenv::{
+    Action, Fixture, Headers, Lines, Server, chunk, config, get, listing, ok_response, options,
+    read_all, refusal_response, route, run_local, stream_head, unframed_stream_head,
+};
 use rstest::rstest;
-use slog::Drain;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::task::{self, LocalSet};
-use tokio::time;
-
-/// Header format of these tests: `id` identifies a request, `not-run` and `proof` classify a
-/// response.
-struct Headers;
-
-fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
-    headers.get(name).and_then(|value| value.to_str().ok())
-}
-
-impl Dialect for Headers {
-    fn parse_request(&self, head: &request::Parts) -> Head {
-        Head {
-            id: header_text(&head.headers, "id").unwrap_or_default().into(),
-            key: header_text(&head.headers, "key").map(Into::into),
-            caller_timeout: header_text(&head.headers, "time")
-                .and_then(|t| t.parse().ok())
-                .map(Millis::new),
-            last_event: None,
-        }
-    }
-
-    fn write_forward(&self, headers: &mut HeaderMap, forward: &Forward<'_>) {
-        headers.remove("key");
-        let last = forward.last_event.map(|last| last.to_string()).unwrap_or_default();
-        headers.insert("last", HeaderValue::from_str(&last).unwrap());
-        headers
-            .insert("left", HeaderValue::from_str(&forward.time_left.get().to_string()).unwrap());
-    }
-
-    fn classify_response(&self, head: &response::Parts, info: &Head) -> Verdict {
-        match header_text(&head.headers, "id") {
-            Some(id) if id != &*info.id => Verdict::Foreign,
-            _ if head.headers.contains_key("not-run") => Verdict::NotRun,
-            _ if head.status == StatusCode::MISDIRECTED_REQUEST => Verdict::Misdirected,
-            Some(_) if head.headers.contains_key("proof") => Verdict::Own,
-            _ => Verdict::Foreign,
-        }
-    }
-}
-
-/// What an upstream does with a request.
-#[derive(Clone)]
-enum Action {
-    /// Sends these bytes and keeps the connection.
-    Send(String),
-    /// Sends these bytes, then resets the connection.
-    SendAndReset(String),
-    /// Sends the first bytes, then the second ones repeatedly with a pause until the connection
-    /// closes.
-    Repeat(String, String, Duration),
-    /// Sends these parts with a pause after each.
-    SendParts(Vec<String>, Duration),
-    /// Sends nothing.
-    SendNothing,
-}
-
-struct Server {
-    vm: id::Vm,
-    address: SocketAddr,
-    requests: Rc<RefCell<Vec<String>>>,
-    closed_connections: Rc<Cell<usize>>,
-}
-
-impl Server {
-    /// Starts an upstream that runs the actions in turn and repeats the last.
-    async fn start(name: &str, actions: Vec<Action>) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let address = listener.local_addr().unwrap();
-        let requests = Rc::new(RefCell::new(Vec::new()));
-        let closed_connections = Rc::new(Cell::new(0));
-        let (received, finished) = (requests.clone(), closed_connections.clone());
-        task::spawn_local(async move {
-            loop {
-                let (stream, _) = listener.accept().await.unwrap();
-                task::spawn_local(serve_connection(
-                    stream,
-                    actions.clone(),
-                    received.clone(),
-                    finished.clone(),
-                ));
-            }
-        });
-        Self { vm: id::Vm::new(name).unwrap(), address, requests, closed_connections }
-    }
-
-    fn request_count(&self) -> usize {
-        self.requests.borrow().len()
-    }
-}
-
-async fn serve_connection(
-    mut stream: TcpStream,
-    actions: Vec<Action>,
-    requests: Rc<RefCell<Vec<String>>>,
-    closed_connections: Rc<Cell<usize>>,
-) {
-    while let Some(request) = read_message(&mut stream).await {
-        let number = requests.borrow().len();
-        requests.borrow_mut().push(request);
-        let action = actions.get(number).or(actions.last()).cloned().unwrap_or(Action::SendNothing);
-        match action {
-            Action::Send(bytes) => stream.write_all(bytes.as_bytes()).await.unwrap_or_default(),
-            Action::SendAndReset(bytes) => {
-                stream.write_all(bytes.as_bytes()).await.unwrap_or_default();
-                time::sleep(Duration::from_millis(30)).await;
-                socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
-                return;
-            }
-            Action::Repeat(first, again, pause) => {
-                let mut bytes = first;
-                while stream.write_all(bytes.as_bytes()).await.is_ok() {
-                    bytes.clone_from(&again);
-                    time::sleep(pause).await;
-                }
-            }
-            Action::SendParts(parts, pause) => {
-                for part in parts {
-                    stream.write_all(part.as_bytes()).await.unwrap_or_default();
-                    time::sleep(pause).await;
-                }
-            }
-            Action::SendNothing => {}
-        }
-    }
-    closed_connections.set(closed_connections.get() + 1);
-}
-
-/// Reads a message with `content-length`.
-async fn read_message(stream: &mut TcpStream) -> Option<String> {
-    let mut bytes = Vec::new();
-    loop {
-        let mut part = [0; 4_096];
-        let size = stream.read(&mut part).await.ok().filter(|&size| size > 0)?;
-        bytes.extend_from_slice(&part[..size]);
-        let text = String::from_utf8_lossy(&bytes).to_string();
-        let Some((head, body)) = text.split_once("\r\n\r\n") else { continue };
-        let length = head.lines().find_map(|line| {
-            line.to_ascii_lowercase().strip_prefix("content-length: ")?.parse::<usize>().ok()
-        });
-        if body.len() >= length.unwrap_or(0) {
-            return Some(text);
-        }
-    }
-}
-
-struct Fixture {
-    entry: Rc<Entry>,
-    callers: SocketAddr,
-    closed: watch::Sender<bool>,
-}
-
-fn route(prefix: &str, kind: Kind) -> Route {
-    Route {
-        name: prefix.into(),
-        host: "h".into(),
-        prefix: prefix.into(),
-        kind,
-        timeout: Millis::new(2_000),
-        objective: Millis::new(100),
-        pause: kind.is_stream().then_some(Millis::new(120)),
-        attempts: 2,
-        priority: 1,
-        public: prefix == "/open/",
-        targets: [Target { service: id::Service::new("s").unwrap(), weight: 1.0 }].into(),
-    }
-}
-
-fn config(version: u64) -> Config {
-    Config {
-        version,
-        routes: vec![
-            route("/safe/", Kind::Idempotent),
-            route("/open/", Kind::Idempotent),
-            Route { attempts: 1, ..route("/once/", Kind::Once) },
-            route("/stream/", Kind::ResumableStream),
-        ],
-        services: vec![Service { name: id::Service::new("s").unwrap(), engine: None }],
-        teams: vec![Team {
-            name: id::Team::new("t").unwrap(),
-            keys: ["k".into()].into(),
-            priority: None,
-        }],
-        limits: Limits {
-            header: Bytes::new(16_384),
-            body: Bytes::new(100),
-            header_time: Millis::new(300),
-            idle_time: Millis::new(600),
-        },
-    }
-}
-
-fn options() -> Options {
-    let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
-    Options {
-        vm: id::Vm::new("e").unwrap(),
-        data_centre: id::DataCentre::new("a").unwrap(),
-        caller_address: any,
-        ready_address: any,
-        peer_address: any,
-        metrics_address: None,
-        seeds: Vec::new(),
-        // A newly started entry has only the part of the budget that its own requests earn.
-        retry_limits: budget::Limits {
-            ratio: 5.0,
-            window: Millis::new(10_000),
-            fixed_allowance: 94.0,
-        },
-        grace_period: Millis::new(8_000),
-    }
-}
-
-fn listing(scripted: &Server, state: State) -> Upstream {
-    Upstream {
-        vm: scripted.vm.clone(),
-        address: scripted.address,
-        service: id::Service::new("s").unwrap(),
-        data_centre: id::DataCentre::new("a").unwrap(),
-        slots: 6,
-        state,
-        started_at: 1,
-        open: true,
-        rank: None,
-    }
-}
-
-/// Captured log lines.
-#[derive(Clone, Default)]
-struct Lines(Arc<Mutex<Vec<u8>>>);
-
-impl Lines {
-    fn text(&self) -> String {
-        String::from_utf8_lossy(&self.0.lock().unwrap()).to_string()
-    }
-
-    fn logger(&self) -> slog::Logger {
-        let drain = slog_json::Json::default(self.clone());
-        slog::Logger::root(Mutex::new(drain).fuse(), slog::o!())
-    }
-}
-
-impl std::io::Write for Lines {
-    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
-        self.0.lock().unwrap().extend_from_slice(bytes);
-        Ok(bytes.len())
-    }
-
-    fn flush(&mut self) -> std::io::Result<()> {
-        Ok(())
-    }
-}
-
-impl Fixture {
-    fn start(upstreams: &[&Server]) -> Self {
-        Self::start_with(upstreams, log::discard())
-    }
-
-    fn start_with(upstreams: &[&Server], logger: slog::Logger) -> Self {
-        let entry = Entry::new(options(), Box::new(Headers), logger);
-        let listener = socket::listen(entry.options.caller_address).unwrap();
-        let callers = listener.local_addr().unwrap();
-        let (closed, watch) = watch::channel(false);
-        task::spawn_local(server::run(entry.clone(), listener, watch));
-        for scripted in upstreams {
-            entry
-                .apply_change(Change::Listed(listing(scripted, State::Ready)), Revision::new(0, 1));
-        }
-        entry.apply_config(config(1), "test");
-        Self { entry, callers, closed }
-    }
-
-    async fn connect(&self) -> TcpStream {
-        TcpStream::connect(self.callers).await.unwrap()
-    }
-
-    /// Sends a request on a new connection and returns all bytes until it closes.
-    async fn call(&self, path: &str, id: &str) -> String {
-        let mut stream = self.connect().await;
-        stream.write_all(get(path, id).as_bytes()).await.unwrap();
-        read_all(&mut stream).await
-    }
-}
-
-fn get(path: &str, id: &str) -> String {
-    format!("GET {path} HTTP/1.1\r\nhost: h\r\nid: {id}\r\nkey: k\r\nconnection: close\r\n\r\n")
-}
-
-async fn read_all(stream: &mut TcpStream) -> String {
-    let mut bytes = Vec::new();
-    let read = stream.read_to_end(&mut bytes);
-    // A cut response ends with an error; the bytes before it count.
-    let _ = time::timeout(Duration::from_secs(10), read).await.expect("response does not end");
-    String::from_utf8_lossy(&bytes).to_string()
-}
-
-fn ok_response(id: &str, body: &str) -> String {
-    let length = body.len();
-    format!("HTTP/1.1 200 OK\r\nid: {id}\r\nproof: p\r\ncontent-length: {length}\r\n\r\n{body}")
-}
-
-fn refusal_response() -> String {
-    "HTTP/1.1 503 No\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n".into()
-}
-
-fn stream_head(id: &str) -> String {
-    format!(
-        "HTTP/1.1 200 OK\r\nid: {id}\r\nproof: p\r\ncontent-type: text/event-stream\r\n\
-         transfer-encoding: chunked\r\n\r\n"
-    )
-}
-
-fn chunk(text: &str) -> String {
-    format!("{:x}\r\n{text}\r\n", text.len())
-}
-
-fn run_local(test: impl Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-    LocalSet::new().block_on(&runtime, test);
-}
+use tokio::{task, time};
 
 #[test]
 fn response_is_forwarded_and_the_key_is_not() {
@@ -553,6 +228,83 @@
     });
 }
 
+#[test]
+fn unframed_stream_that_ends_between_events_is_complete() {
+    run_local(async {
+        let whole = unframed_stream_head("1") + "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+        let upstream = Server::start("u", vec![Action::SendAndClose(whole)]).await;
+        let fixture = Fixture::start(&[&upstream]);
+
+        let got = fixture.call("/stream/", "1").await;
+
+        assert!(got.contains("id: 2\ndata: b\n\n") && got.ends_with("0\r\n\r\n"), "{got}");
+        assert_eq!(upstream.request_count(), 1);
+    });
+}
+
+#[rstest]
+#[case::inside_an_event("id: 1\ndata: a\n\nid: 2\nda", "1")]
+#[case::inside_the_first_event("id: 1", "")]
+#[case::before_the_first_event("", "")]
+fn unframed_stream_that_ends_early_goes_on_elsewhere(#[case] sent: &str, #[case] last: &str) {
+    run_local(async {
+        let cut = unframed_stream_head("1") + sent;
+        let upstream = Server::start("u", vec![Action::SendAndClose(cut)]).await;
+        let fixture = Fixture::start(&[&upstream]);
+        let all = ["id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"];
+        let rest = all[usize::from(last == "1")..].concat();
+        let rest = stream_head("1") + &chunk(&rest) + "0\r\n\r\n";
+        let second = Server::start("v", vec![Action::Send(rest)]).await;
+        let add_upstream = async {
+            while upstream.request_count() == 0 {
+                time::sleep(Duration::from_millis(1)).await;
+            }
+            let listed = Change::Listed(listing(&second, State::Ready));
+            fixture.entry.apply_change(listed, Revision::new(0, 2));
+        };
+
+        let (got, ()) = tokio::join!(fixture.call("/stream/", "1"), add_upstream);
+
+        assert_eq!(got.matches("\ndata: ").count(), 2, "{got}");
+        assert!(got.ends_with("0\r\n\r\n"), "{got}");
+        assert!(second.requests.borrow()[0].contains(&format!("last: {last}\r\n")));
+    });
+}
+
+#[rstest]
+#[case::inside_an_event("id: 1\ndata: a\n\nid: 2\nda")]
+#[case::before_the_first_event("")]
+fn unframed_stream_that_ends_early_and_cannot_go_on_does_not_look_complete(#[case] sent: &str) {
+    run_local(async {
+        let cut = unframed_stream_head("1") + sent;
+        let upstream = Server::start("u", vec![Action::SendAndClose(cut)]).await;
+        let fixture = Fixture::start(&[&upstream]);
+
+        let got = fixture.call("/stream/", "1").await;
+
+        assert!(!got.ends_with("0\r\n\r\n"), "{got}");
+    });
+}
+
+#[rstest]
+#[case::ended(Action::SendAndClose, "HTTP/1.1 200")]
+#[case::reset(Action::SendAndReset, "HTTP/1.1 502")]
+fn unframed_answer_is_complete_unless_its_connection_was_reset(
+    #[case] action: fn(String) -> Action,
+    #[case] status: &str,
+) {
+    run_local(async {
+        let answer = "HTTP/1.1 200 OK\r\nid: 1\r\nproof: p\r\n\r\nhello";
+        let upstream = Server::start("u", vec![action(answer.into())]).await;
+        let fixture = Fixture::start(&[&upstream]);
+
+        let got = fixture.call("/once/", "1").await;
+
+        assert!(got.starts_with(status), "{got}");
+        assert_eq!(got.ends_with("hello"), status.ends_with("200"), "{got}");
+    });
+}
+
 #[rstest]
 #[case::can_retry("", 503, 0)]
 #[case::has_retried("time: 1500\r\n", 200, 1)]
--- a/crates/agateflowd/tests/poison.rs
+++ b/crates/agateflowd/tests/poison.rs
@@ -4,6 +4,8 @@
 
 mod testenv;
 
+use std::time::Duration;
+
 use agateflow_standin::fault;
 use http::StatusCode;
 use testenv::{Call, Fleet, Plan};
@@ -11,6 +13,12 @@
 /// Maximum number of engines per data centre that one request may crash.
 const MAX_CRASHED: usize = 2;
 
+/// The same for a part of prompts, which must crash engines at two different times.
+const MAX_CRASHED_BY_PART: usize = 3;
+
+/// Time between two requests, in which entries tell crashes apart.
+const INTERVAL: Duration = Duration::from_millis(700);
+
 const ENGINES: usize = 5;
 
 async fn fleet() -> Fleet {
@@ -63,3 +71,18 @@
 
     assert_eq!(other.status(), StatusCode::OK);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn shared_message_crashes_three_engines_at_most() {
+    let fleet = fleet().await;
+
+    for turn in 0..6 {
+        fleet.send(0, Call::conversation(&["storm guide", &format!("question {turn}")])).await;
+        tokio::time::sleep(INTERVAL).await;
+    }
+    let sound = fleet.send(0, Call::conversation(&["clear night", "question 9"])).await;
+
+    let crashed = count_crashed(&fleet);
+    assert!(crashed <= MAX_CRASHED_BY_PART, "{crashed} engines crashed");
+    assert_eq!(sound.status(), StatusCode::OK);
+}
--- a/crates/agateflowd/tests/testenv/mod.rs
+++ b/crates/agateflowd/tests/testenv/mod.rs
@@ -405,8 +405,19 @@
 
     /// A model request.
     pub fn chat(prompt: &str, tokens: u64, stream: bool) -> Self {
+        Self::messages(&[prompt], tokens, stream)
+    }
+
+    /// A request whose prompt has several messages.
+    pub fn conversation(messages: &[&str]) -> Self {
+        Self::messages(messages, 5, false)
+    }
+
+    fn messages(texts: &[&str], tokens: u64, stream: bool) -> Self {
+        let message = |text: &&str| json!({ "role": "user", "content": text });
+        let messages: Vec<_> = texts.iter().map(message).collect();
         let body = json!({ "model": "summary", "stream": stream, "max_tokens": tokens,
-            "messages": [{ "role": "user", "content": prompt }] });
+            "messages": messages });
         Self::new("POST", "/v1/chat/completions", &body.to_string())
     }
 
