Convict the part of prompts that crashes upstreams, and refuse its requests

Cause: a request that crashes upstreams was known by team, method, path and body. Requests that share only one part of their prompts were each a new one: 296 of 298 recorded crashes were the first of their request. And crashes were recorded against all requests on broken connections, streams that other ranks cut among them.

Change: a crash names the parts of the prompts that the upstream had not begun to answer, once its port refuses connections. A part is convicted by two separate crashes, three if it was answered before, and by none that a part with more crashes explains; an answer since a crash clears its parts. Crashes are separate if a request with the part was sent after the one before: a rack or a cut that ends many upstreams counts once. Entries exchange the evidence by heartbeats, repeated in rotation for those that start or were cut off. A conviction lasts 60 s, twice as long with each further crash; requests with the part are refused at once, also while they wait, and given up where their answers have not begun.

--- a/crates/agateflow/src/direct/attempt.rs
+++ b/crates/agateflow/src/direct/attempt.rs
@@ -17,6 +17,8 @@
     Broken,
     /// No response arrived in time.
     Silent,
+    /// This entry gave it up because requests like it crash upstreams.
+    GivenUp,
 }
 
 impl Outcome {
@@ -29,6 +31,7 @@
             Outcome::Failed => "failed",
             Outcome::Broken => "broken",
             Outcome::Silent => "silent",
+            Outcome::GivenUp => "given-up",
         }
     }
 }
@@ -125,7 +128,7 @@
             Outcome::Unsent => self.unsent += 1,
             Outcome::Misdirected => self.misdirected += 1,
             Outcome::NotRun => self.sent += 1,
-            Outcome::Failed | Outcome::Broken | Outcome::Silent => {
+            Outcome::Failed | Outcome::Broken | Outcome::Silent | Outcome::GivenUp => {
                 self.sent += 1;
                 self.maybe_ran = true;
             }
--- /dev/null
+++ b/crates/agateflow/src/direct/culprit/register.rs
@@ -0,0 +1,225 @@
+//! Known crashes and the parts of prompts that may have caused them.
+
+use indexmap::IndexMap;
+
+use super::answers::Answers;
+use super::verdict::{self, Observation, Observations};
+use super::{Conviction, Evidence, Item, LIFETIME, Part};
+use crate::direct::suspect::Incarnation;
+use crate::unit;
+
+/// Maximum number of crashes to remember.
+const MAX_CRASHES: usize = 64;
+
+/// Maximum number of parts of one crash. Parts that were never answered go first.
+const MAX_PARTS: usize = 128;
+
+/// How often a new item is sent. Each message may be lost.
+const SENDS: u32 = 4;
+
+/// Items sent again in each message, in rotation, for entries that started or were cut off.
+const REPEATED_ITEMS: usize = 8;
+
+/// What is known of a part in one crash.
+#[derive(Clone, Copy, Debug)]
+struct Role {
+    evidence: Evidence,
+    run_time: unit::Millis,
+}
+
+#[derive(Clone, Debug)]
+struct Crash {
+    expires: unit::Millis,
+    parts: IndexMap<Part, Role>,
+}
+
+/// What an entry knows of crashes, its own and those of other entries.
+#[derive(Clone, Debug, Default)]
+pub struct Register {
+    crashes: IndexMap<Incarnation, Crash>,
+    answers: Answers,
+    convictions: IndexMap<Part, Conviction>,
+    /// Items to send, and how often.
+    news: IndexMap<(Incarnation, Part), u32>,
+    next_repeated: usize,
+}
+
+impl Register {
+    /// Creates an empty register.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Records that `crash` ended an upstream before it began to answer a request with `parts`, which
+    /// it got `run_time` ago. Returns new convictions.
+    pub fn record_crash(
+        &mut self,
+        crash: Incarnation,
+        parts: &[Part],
+        run_time: unit::Millis,
+        now: unit::Millis,
+    ) -> Vec<Conviction> {
+        let mut sorted: Vec<(Evidence, Part)> =
+            parts.iter().map(|&part| (self.own_evidence(part, now, now), part)).collect();
+        sorted.sort_unstable();
+        for (evidence, part) in sorted {
+            self.insert(crash, part, Role { evidence, run_time }, now + LIFETIME, now);
+            self.news.insert((crash, part), SENDS);
+        }
+        self.judge(now)
+    }
+
+    /// Records that a request with `parts` was answered. Returns new convictions: what a cleared part
+    /// seemed to explain may point to another one.
+    pub fn record_answer(&mut self, parts: &[Part], now: unit::Millis) -> Vec<Conviction> {
+        let mut cleared = false;
+        for &part in parts {
+            self.answers.record(part, now);
+            for (&incarnation, crash) in &mut self.crashes {
+                let Some(role) = crash.parts.get_mut(&part) else { continue };
+                if role.evidence < Evidence::AnsweredSince {
+                    role.evidence = Evidence::AnsweredSince;
+                    self.news.insert((incarnation, part), SENDS);
+                    cleared = true;
+                }
+            }
+        }
+        if cleared { self.judge(now) } else { Vec::new() }
+    }
+
+    /// Merges items of another entry. Returns new convictions.
+    pub fn merge(&mut self, items: &[Item], now: unit::Millis) -> Vec<Conviction> {
+        let mut changed = false;
+        for item in items {
+            let expires = now + item.ttl.min(LIFETIME);
+            let own = self.own_evidence(item.part, expires.saturating_sub(LIFETIME), now);
+            let role = Role { evidence: own.max(item.evidence), run_time: item.run_time };
+            changed |= self.insert(item.crash, item.part, role, expires, now);
+            if own > item.evidence {
+                self.news.entry((item.crash, item.part)).or_insert(SENDS);
+            }
+        }
+        if changed { self.judge(now) } else { Vec::new() }
+    }
+
+    /// What this entry's own answers say of a part in a crash at `crashed_at`.
+    fn own_evidence(&self, part: Part, crashed_at: unit::Millis, now: unit::Millis) -> Evidence {
+        match self.answers.last(part, now) {
+            Some(at) if at > crashed_at => Evidence::AnsweredSince,
+            Some(_) => Evidence::AnsweredBefore,
+            None => Evidence::Unanswered,
+        }
+    }
+
+    /// Returns whether it says more than was known.
+    fn insert(
+        &mut self,
+        crash: Incarnation,
+        part: Part,
+        role: Role,
+        expires: unit::Millis,
+        now: unit::Millis,
+    ) -> bool {
+        if expires <= now {
+            return false;
+        }
+        if self.crashes.len() >= MAX_CRASHES && !self.crashes.contains_key(&crash) {
+            self.crashes.shift_remove_index(0);
+        }
+        let known =
+            self.crashes.entry(crash).or_insert_with(|| Crash { expires, parts: IndexMap::new() });
+        if known.parts.len() >= MAX_PARTS && !known.parts.contains_key(&part) {
+            return false;
+        }
+        let Some(before) = known.parts.get_mut(&part) else {
+            known.parts.insert(part, role);
+            return true;
+        };
+        let changed = role.evidence > before.evidence || role.run_time < before.run_time;
+        before.evidence = before.evidence.max(role.evidence);
+        before.run_time = before.run_time.min(role.run_time);
+        changed
+    }
+
+    /// Drops expired crashes, convicts anew and returns the parts that were not convicted before.
+    fn judge(&mut self, now: unit::Millis) -> Vec<Conviction> {
+        self.crashes.retain(|_, crash| now < crash.expires);
+        let crashes = &self.crashes;
+        self.news.retain(|(crash, _), _| crashes.contains_key(crash));
+        let convictions = verdict::convict(&self.observations(now));
+        let is_new = |conviction: &&Conviction| {
+            let before = self.convictions.get(&conviction.part);
+            now < conviction.until && before.is_none_or(|before| before.until <= now)
+        };
+        let new = convictions.values().filter(is_new).copied().collect();
+        self.convictions = convictions;
+        new
+    }
+
+    fn observations(&self, now: unit::Millis) -> Observations {
+        let mut observations = Observations::new();
+        for (index, crash) in self.crashes.values().enumerate() {
+            for (&part, &Role { evidence, run_time }) in &crash.parts {
+                let answered = self.answers.last(part, now).is_some();
+                let evidence = match evidence {
+                    Evidence::Unanswered if answered => Evidence::AnsweredBefore,
+                    evidence => evidence,
+                };
+                let observation =
+                    Observation { crash: index, expires: crash.expires, evidence, run_time };
+                observations.entry(part).or_default().push(observation);
+            }
+        }
+        for seen in observations.values_mut() {
+            seen.sort_by_key(|observation| observation.expires);
+        }
+        observations
+    }
+
+    /// The conviction because of which a request with `parts` is refused.
+    pub fn conviction(&self, parts: &[Part], now: unit::Millis) -> Option<Conviction> {
+        let convictions = parts.iter().filter_map(|part| self.convictions.get(part));
+        convictions.filter(|conviction| now < conviction.until).max_by_key(|c| c.until).copied()
+    }
+
+    /// Whether there is evidence that other entries have not been sent.
+    pub fn has_news(&self) -> bool {
+        !self.news.is_empty()
+    }
+
+    /// At most `max` items for the next message: new ones, then some of the others in rotation.
+    pub fn take_items(&mut self, max: usize, now: unit::Millis) -> Vec<Item> {
+        let keys: Vec<(Incarnation, Part)> = self.news.keys().take(max).copied().collect();
+        for key in &keys {
+            if let Some(left) = self.news.get_mut(key) {
+                *left -= 1;
+            }
+        }
+        self.news.retain(|_, left| *left > 0);
+        let mut items: Vec<Item> =
+            keys.iter().filter_map(|&(crash, part)| self.item(crash, part, now)).collect();
+        let repeated = REPEATED_ITEMS.min(max - items.len());
+        items.extend(self.repeated_items(repeated, now));
+        items
+    }
+
+    fn item(&self, incarnation: Incarnation, part: Part, now: unit::Millis) -> Option<Item> {
+        let crash = self.crashes.get(&incarnation)?;
+        let &Role { evidence, run_time } = crash.parts.get(&part)?;
+        let ttl = crash.expires.saturating_sub(now);
+        Some(Item { part, crash: incarnation, evidence, run_time, ttl })
+    }
+
+    fn repeated_items(&mut self, count: usize, now: unit::Millis) -> Vec<Item> {
+        let all = || {
+            let crashes = self.crashes.iter();
+            crashes.flat_map(|(&crash, known)| known.parts.keys().map(move |&part| (crash, part)))
+        };
+        let total = all().count();
+        let first = self.next_repeated.checked_rem(total).unwrap_or(0);
+        let keys = all().cycle().skip(first).take(count.min(total));
+        let items = keys.filter_map(|(crash, part)| self.item(crash, part, now)).collect();
+        self.next_repeated = first + count;
+        items
+    }
+}
--- a/crates/agateflow/src/direct/mod.rs
+++ b/crates/agateflow/src/direct/mod.rs
@@ -4,6 +4,7 @@
 pub mod attempt;
 pub mod budget;
 pub mod config;
+pub mod culprit;
 pub mod directory;
 pub mod events;
 pub mod group;
@@ -11,6 +12,7 @@
 pub mod load;
 pub mod outage;
 pub mod peer;
+pub mod progress;
 pub mod queue;
 pub mod share;
 pub mod stall;
--- a/crates/agateflow/src/direct/peer.rs
+++ b/crates/agateflow/src/direct/peer.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::directory::{Incarnation, Revision, Upstream};
-use super::{config, group, suspect};
+use super::{config, culprit, group, suspect};
 use crate::lockstep::agent;
 use crate::lockstep::report::{Plan, Status};
 use crate::{id, unit};
@@ -81,6 +81,8 @@
     pub draining: Vec<Incarnation>,
     /// Crashes that it recently saw or heard of.
     pub crashes: Vec<suspect::Crash>,
+    /// Evidence on parts of prompts that may crash upstreams.
+    pub evidence: Vec<culprit::Item>,
     /// Addresses of some entries that it knows.
     pub known: Vec<SocketAddr>,
 }
--- a/crates/agateflow/src/event.rs
+++ b/crates/agateflow/src/event.rs
@@ -147,6 +147,10 @@
     714 GroupStalled Warning "group of ranks stalled";
     /// An upstream broke off before it answered a request, which may have crashed it.
     715 CrashRecorded Warning "crash recorded against a request";
+    /// A part of prompts is convicted of crashing upstreams; requests with it are refused.
+    716 PartConvicted Warning "part of prompts convicted of crashes";
+    /// An upstream that broke off still accepts connections, so it did not crash.
+    717 UpstreamAlive Info "upstream alive after it broke off";
 }
 
 impl Event {
--- /dev/null
+++ b/crates/agateflow/tests/culprit.rs
@@ -0,0 +1,321 @@
+//! Conviction of prompt parts that crash upstreams, and protection of the parts that do not.
+
+#![allow(clippy::unwrap_used)]
+
+use agateflow::direct::culprit::{Conviction, Evidence, Item, LIFETIME, Part, Register};
+use agateflow::direct::progress::Progress;
+use agateflow::direct::suspect::Incarnation;
+use agateflow::unit::Millis;
+use proptest::prelude::*;
+use rstest::rstest;
+
+fn ms(number: u64) -> Millis {
+    Millis::new(number)
+}
+
+fn part(name: &str) -> Part {
+    Part::new("service", name.as_bytes())
+}
+
+fn parts(names: &str) -> Vec<Part> {
+    names.split_whitespace().map(part).collect()
+}
+
+fn crash(number: u64) -> Incarnation {
+    Incarnation::new("vm", number)
+}
+
+/// Time from the sending of a request to the crash.
+const RUN_TIME: Millis = Millis::new(60);
+
+/// Plays lines `TIME crash NUMBER PARTS` and `TIME answer PARTS`.
+fn play(register: &mut Register, script: &str) -> Vec<Conviction> {
+    let mut convictions = Vec::new();
+    for line in script.lines().map(str::trim).filter(|line| !line.is_empty()) {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        let now = ms(words[0].parse().unwrap());
+        convictions.extend(match words[1] {
+            "crash" => {
+                let incarnation = crash(words[2].parse().unwrap());
+                register.record_crash(incarnation, &parts(&words[3..].join(" ")), RUN_TIME, now)
+            }
+            "answer" => register.record_answer(&parts(&words[2..].join(" ")), now),
+            other => panic!("{other}"),
+        });
+    }
+    convictions
+}
+
+fn is_refused(register: &Register, names: &str, now: u64) -> bool {
+    register.conviction(&parts(names), ms(now)).is_some()
+}
+
+#[rstest]
+#[case::once("1000 crash 1 common deadly", false)]
+#[case::twice("1000 crash 1 common deadly\n 5000 crash 2 other deadly", true)]
+#[case::one_upstream_twice("1000 crash 1 deadly\n 5000 crash 1 deadly", false)]
+#[case::many_upstreams_at_once(
+    "1000 crash 1 deadly\n 1010 crash 2 deadly\n 1050 crash 3 deadly",
+    false
+)]
+#[case::sent_again_at_once("1000 crash 1 deadly\n 1061 crash 2 deadly", true)]
+#[case::answered_in_between(
+    "1000 crash 1 deadly\n 2000 answer deadly\n 5000 crash 2 deadly",
+    false
+)]
+#[case::answered_before_twice(
+    "100 answer deadly\n 1000 crash 1 deadly\n 5000 crash 2 deadly",
+    false
+)]
+#[case::answered_before_thrice(
+    "100 answer deadly\n 1000 crash 1 deadly\n 5000 crash 2 deadly\n 9000 crash 3 deadly",
+    true
+)]
+fn part_is_convicted_by_separate_unanswered_crashes(#[case] script: &str, #[case] expected: bool) {
+    let mut register = Register::new();
+
+    play(&mut register, script);
+
+    assert_eq!(is_refused(&register, "new deadly", 9_500), expected);
+    assert!(!is_refused(&register, "common", 9_500));
+}
+
+#[test]
+fn popular_parts_in_flight_at_the_same_crashes_are_not_convicted() {
+    let mut register = Register::new();
+
+    let convictions = play(
+        &mut register,
+        "500 answer team popular
+        1000 crash 1 team deadly
+        1001 crash 1 popular rare
+        5000 crash 2 team deadly
+        5001 crash 2 team popular
+        9000 crash 3 team deadly popular
+        9001 crash 3 team rare",
+    );
+
+    assert_eq!(convictions.len(), 1);
+    assert_eq!(convictions[0].part, part("deadly"));
+    assert!(!is_refused(&register, "team popular rare", 9_500));
+}
+
+#[test]
+fn wrong_conviction_ends_when_another_part_explains_more_crashes() {
+    let mut register = Register::new();
+    play(&mut register, "1000 crash 1 deadly rare\n 5000 crash 2 deadly rare");
+    let one_of_both =
+        is_refused(&register, "deadly", 5_100) != is_refused(&register, "rare", 5_100);
+
+    play(&mut register, "9000 crash 3 deadly");
+
+    assert!(one_of_both, "the fewest parts that explain the crashes");
+    assert!(is_refused(&register, "deadly", 9_100));
+    assert!(!is_refused(&register, "rare", 9_100));
+}
+
+#[test]
+fn two_deadly_parts_at_once_are_both_convicted() {
+    let mut register = Register::new();
+
+    play(
+        &mut register,
+        "1000 crash 1 team first
+        1100 crash 2 team second
+        5000 crash 3 team first
+        5050 crash 4 team second
+        6000 answer team",
+    );
+
+    assert!(is_refused(&register, "first", 6_000));
+    assert!(is_refused(&register, "second", 6_000));
+    assert!(!is_refused(&register, "team", 6_000));
+}
+
+#[test]
+fn part_that_crashes_again_after_its_conviction_is_refused_at_once_and_for_longer() {
+    let mut register = Register::new();
+    play(&mut register, "1000 crash 1 deadly\n 5000 crash 2 deadly");
+    assert!(is_refused(&register, "deadly", 64_900));
+    assert!(!is_refused(&register, "deadly", 65_000), "admitted again to see");
+
+    let again = play(&mut register, "66000 crash 3 deadly");
+
+    assert_eq!(again.len(), 1);
+    assert!(is_refused(&register, "deadly", 185_900));
+    assert!(!is_refused(&register, "deadly", 186_000));
+}
+
+#[test]
+fn part_that_was_answered_after_its_conviction_is_free() {
+    let mut register = Register::new();
+    play(&mut register, "1000 crash 1 part\n 5000 crash 2 part");
+
+    play(&mut register, "66000 answer part\n 70000 crash 3 part");
+
+    assert!(!is_refused(&register, "part", 70_100));
+}
+
+#[test]
+fn popular_part_is_not_convicted_by_the_crashes_of_a_long_time() {
+    let mut register = Register::new();
+
+    for number in 1..60 {
+        let script = format!(
+            "{0}000 crash {number} popular rare{number}
+            {0}500 answer popular",
+            number * 5
+        );
+        play(&mut register, &script);
+    }
+
+    assert!(!is_refused(&register, "popular", 298_000));
+}
+
+fn exchange(from: &mut Register, to: &mut Register, now: u64) {
+    let items = from.take_items(64, ms(now));
+    to.merge(&items, ms(now));
+}
+
+#[test]
+fn crashes_seen_by_different_entries_add_up() {
+    let (mut first, mut second) = (Register::new(), Register::new());
+    play(&mut first, "1000 crash 1 team deadly");
+    play(&mut second, "5000 crash 2 team deadly\n 5100 answer team");
+
+    exchange(&mut first, &mut second, 5_200);
+    exchange(&mut second, &mut first, 5_200);
+
+    for register in [&first, &second] {
+        assert!(is_refused(register, "deadly", 5_300));
+        assert!(!is_refused(register, "team", 5_300));
+    }
+}
+
+#[test]
+fn entry_that_saw_answers_protects_a_part_at_one_that_has_just_started() {
+    let (mut experienced, mut new) = (Register::new(), Register::new());
+    play(&mut experienced, "500 answer popular");
+    play(&mut new, "1000 crash 1 popular");
+    exchange(&mut new, &mut experienced, 1_050);
+    exchange(&mut experienced, &mut new, 1_100);
+
+    play(&mut new, "5000 crash 2 popular");
+
+    assert!(!is_refused(&new, "popular", 5_000));
+}
+
+#[test]
+fn entry_that_starts_later_learns_convictions_from_repeated_items() {
+    let mut old = Register::new();
+    play(&mut old, "1000 crash 1 team deadly\n 5000 crash 2 team deadly\n 5100 answer team");
+    for now in 0..20 {
+        old.take_items(64, ms(5_200 + now));
+    }
+    assert!(!old.has_news());
+    let mut started = Register::new();
+
+    // Its clock starts anew.
+    let items = old.take_items(64, ms(20_000));
+    started.merge(&items, ms(100));
+
+    assert!(is_refused(&started, "deadly", 200));
+    assert!(!is_refused(&started, "team", 200));
+    assert!(!is_refused(&started, "deadly", 45_200), "ends as at the others");
+}
+
+#[test]
+fn evidence_expires_and_does_not_come_back() {
+    let mut register = Register::new();
+    play(&mut register, "1000 crash 1 deadly");
+    let late = LIFETIME.get() + 2_000;
+    let stale = Item {
+        part: part("deadly"),
+        crash: crash(1),
+        evidence: Evidence::Unanswered,
+        run_time: RUN_TIME,
+        ttl: ms(0),
+    };
+
+    register.merge(&[stale], ms(late));
+    play(&mut register, &format!("{late} crash 2 deadly"));
+
+    assert!(!is_refused(&register, "deadly", late + 1));
+    assert!(register.take_items(64, ms(late + 1)).iter().all(|item| item.crash == crash(2)));
+}
+
+#[test]
+fn register_is_bounded() {
+    let mut register = Register::new();
+    let many: Vec<Part> = (0..1_000).map(|n| part(&n.to_string())).collect();
+
+    for number in 0..200 {
+        register.record_crash(crash(number), &many, RUN_TIME, ms(1_000 + number));
+    }
+
+    let mut known = std::collections::HashSet::new();
+    for now in 0..10_000 {
+        known.extend(register.take_items(64, ms(2_000 + now)).iter().map(|i| (i.part, i.crash)));
+    }
+    assert!(known.len() <= 64 * 128, "{}", known.len());
+    assert!(register.take_items(64, ms(40_000)).len() <= 64);
+}
+
+proptest! {
+    #[test]
+    fn verdict_does_not_depend_on_the_order_of_items(
+        observations in prop::collection::vec((0_u64..6, 0_usize..5, 0_u8..3), 1..40),
+        seed in any::<u64>(),
+    ) {
+        let names = ["a", "b", "c", "d", "e"];
+        let item = |&(number, name, evidence): &(u64, usize, u8)| Item {
+            part: part(names[name]),
+            crash: crash(number),
+            evidence: match evidence {
+                0 => Evidence::Unanswered,
+                1 => Evidence::AnsweredBefore,
+                _ => Evidence::AnsweredSince,
+            },
+            run_time: ms(number * 7 % 5 * 300),
+            ttl: LIFETIME.saturating_sub(ms(10_000 - number * 900)),
+        };
+        let mut items: Vec<Item> = observations.iter().map(item).collect();
+        let mut ordered = Register::new();
+        ordered.merge(&items, ms(700_000));
+        items.sort_by_key(|item| {
+            xxhash_rust::xxh3::xxh3_64_with_seed(format!("{item:?}").as_bytes(), seed)
+        });
+
+        let mut shuffled = Register::new();
+        for chunk in items.chunks(3) {
+            shuffled.merge(chunk, ms(700_000));
+        }
+
+        for name in names {
+            let at = ms(700_000);
+            prop_assert_eq!(
+                ordered.conviction(&[part(name)], at),
+                shuffled.conviction(&[part(name)], at)
+            );
+        }
+    }
+}
+
+#[rstest]
+#[case::nothing(&[], 1_000, false)]
+#[case::one_part_just_now(&[1_000], 1_100, false)]
+#[case::one_part_long_ago(&[1_000], 1_300, true)]
+#[case::two_parts(&[1_000, 1_050], 1_060, true)]
+fn upstream_that_lives_on_after_the_first_part_has_answered(
+    #[case] arrivals: &[u64],
+    #[case] now: u64,
+    #[case] expected: bool,
+) {
+    let mut progress = Progress::new();
+
+    for &at in arrivals {
+        progress.record_part(ms(at));
+    }
+
+    assert_eq!(progress.is_answered(ms(now)), expected);
+}
--- a/crates/agateflow/tests/direct.rs
+++ b/crates/agateflow/tests/direct.rs
@@ -566,6 +566,7 @@
         costs: IndexMap::new(),
         draining: Vec::new(),
         crashes: Vec::new(),
+        evidence: Vec::new(),
         known: vec!["10.0.0.9:7".parse().unwrap()],
     }
 }
--- a/crates/agateflowd/src/direct/call.rs
+++ b/crates/agateflowd/src/direct/call.rs
@@ -128,8 +128,8 @@
 
     async fn run(mut self) -> Response<Body> {
         let now = self.entry.now();
-        if self.entry.suspects.borrow().is_poison(self.request.fingerprint, now) {
-            return self.refuse("request crashes upstreams", unit::Millis::new(60_000));
+        if let Some(retry_delay) = self.entry.refused_for(&self.request) {
+            return self.refuse("request crashes upstreams", retry_delay);
         }
         self.entry
             .with_service(&self.request.service, |service| service.budget.record_request(now));
@@ -191,8 +191,8 @@
     /// Decides the next step after an attempt ended.
     pub fn next_step(&mut self, end: attempt::Outcome) -> attempt::Action {
         let now = self.entry.now();
-        let poison = self.entry.suspects.borrow().is_poison(self.request.fingerprint, now);
-        let has_time = !poison && now + MIN_ATTEMPT_TIME < self.request.deadline;
+        let refused = self.entry.refused_for(&self.request).is_some();
+        let has_time = !refused && now + MIN_ATTEMPT_TIME < self.request.deadline;
         let mut preview = self.record;
         let wants_retry = end != attempt::Outcome::Unsent
             && preview.record_outcome(end, true, has_time) == attempt::Action::Again;
@@ -215,8 +215,9 @@
         let vm = permit.upstream.vm.clone();
         let Ok(body) = Limited::new(body, MAX_RESPONSE_BYTES).collect().await else {
             event!(self.entry.logger, Event::UpstreamFailed; "id" => &*self.request.info.id,
-                "upstream" => %vm, "reason" => "response incomplete or too long", "answered" => true);
+                "upstream" => %vm, "reason" => "response incomplete or too long", "answered" => false);
             self.end_attempt(&permit.upstream, attempt::Outcome::Broken, Health::Bad);
+            self.entry.check_crash(&self.request, permit.granted_at, &permit.upstream).await;
             return Err(attempt::Outcome::Broken);
         };
         connection.release();
@@ -224,6 +225,7 @@
         if head.status.is_success() {
             self.entry.load.borrow_mut().observe(&vm, Health::Good, self.entry.now());
             self.entry.suspects.borrow_mut().clear(self.request.fingerprint);
+            self.entry.record_answer(&self.request);
             return Ok(self.forward_response(head, body));
         }
         self.upstream_failure = Some(Response::from_parts(head, body));
@@ -267,6 +269,9 @@
             Refusal::Closed(retry_delay) => self.refuse("group of ranks closed", retry_delay),
             Refusal::NoUpstream(retry_delay) => self.refuse("no upstream", retry_delay),
             Refusal::Busy(retry_delay) => self.refuse("no place in time", retry_delay),
+            Refusal::Convicted(retry_delay) => {
+                self.refuse("request crashes upstreams", retry_delay)
+            }
         }
     }
 
--- /dev/null
+++ b/crates/agateflowd/src/direct/crash.rs
@@ -0,0 +1,131 @@
+//! Crashes of upstreams, and the requests that are refused because they cause them.
+
+use std::io;
+use std::time::Duration;
+
+use agateflow::direct::directory::Upstream;
+use agateflow::direct::{culprit, suspect};
+use agateflow::event::Event;
+use agateflow::unit;
+
+use super::request::Request;
+use super::{Entry, socket};
+use crate::{event, meter};
+
+/// Timeout of the connection that shows whether an upstream still listens.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// `retry-after` for a request that crashed upstreams whenever it was sent.
+const POISON_RETRY_AFTER: unit::Millis = unit::Millis::new(60_000);
+
+/// Latest crashes kept for heartbeats.
+const MAX_RECENT_CRASHES: usize = 16;
+
+impl Entry {
+    /// Records that `upstream` broke off while `request` ran.
+    pub fn record_break(&self, request: &Request, upstream: &Upstream) {
+        let crash =
+            suspect::Crash { request: request.fingerprint, upstream: incarnation(upstream) };
+        self.add_crash(crash);
+    }
+
+    /// Records a crash. A new one is passed on with the next heartbeats.
+    pub fn add_crash(&self, crash: suspect::Crash) {
+        let now = self.now();
+        if !self.suspects.borrow_mut().record_crash(crash, now) {
+            return;
+        }
+        let mut crashes = self.recent_crashes.borrow_mut();
+        if crashes.len() >= MAX_RECENT_CRASHES {
+            crashes.remove(0);
+        }
+        crashes.push(crash);
+    }
+
+    /// Recent crashes, own and reported.
+    pub fn recent_crashes(&self) -> Vec<suspect::Crash> {
+        self.recent_crashes.borrow().clone()
+    }
+
+    /// Checks whether `upstream`, which broke off before it answered `request`, has crashed, and
+    /// records the parts of the request's prompt if so.
+    pub async fn check_crash(&self, request: &Request, sent_at: unit::Millis, upstream: &Upstream) {
+        let run_time = self.now().saturating_sub(sent_at);
+        if request.parts.is_empty() {
+            return;
+        }
+        if !has_ended(upstream).await {
+            event!(self.logger, Event::UpstreamAlive; "id" => &*request.info.id,
+                "upstream" => %upstream.vm);
+            return;
+        }
+        event!(self.logger, Event::CrashRecorded; "id" => &*request.info.id,
+            "upstream" => %upstream.vm, "parts" => request.info.prompt_parts.join(" "),
+            "hashes" => request.part_hashes());
+        let now = self.now();
+        let crash = incarnation(upstream);
+        let convictions =
+            self.culprits.borrow_mut().record_crash(crash, &request.parts, run_time, now);
+        self.heartbeat_trigger.notify_one();
+        self.announce(&convictions);
+    }
+
+    /// Records that an upstream answered `request`.
+    pub fn record_answer(&self, request: &Request) {
+        let now = self.now();
+        let convictions = self.culprits.borrow_mut().record_answer(&request.parts, now);
+        self.announce(&convictions);
+    }
+
+    /// Merges the evidence of another entry.
+    pub fn merge_evidence(&self, items: &[culprit::Item]) {
+        let now = self.now();
+        let convictions = self.culprits.borrow_mut().merge(items, now);
+        self.announce(&convictions);
+    }
+
+    fn announce(&self, convictions: &[culprit::Conviction]) {
+        let now = self.now();
+        for conviction in convictions {
+            event!(self.logger, Event::PartConvicted; "part" => %conviction.part,
+                "crashes" => conviction.crashes,
+                "duration" => %conviction.until.saturating_sub(now));
+            meter::convicted();
+        }
+        if !convictions.is_empty() {
+            self.convicted.send_replace(());
+        }
+    }
+
+    /// Whether `request` is refused because it crashes upstreams, and until when.
+    pub fn refused_for(&self, request: &Request) -> Option<unit::Millis> {
+        let now = self.now();
+        if self.suspects.borrow().is_poison(request.fingerprint, now) {
+            return Some(POISON_RETRY_AFTER);
+        }
+        let conviction = self.culprits.borrow().conviction(&request.parts, now)?;
+        Some(conviction.until.saturating_sub(now))
+    }
+
+    /// Waits until `request` is refused because it crashes upstreams.
+    pub async fn refusal_of(&self, request: &Request) -> unit::Millis {
+        let mut convicted = self.convicted.subscribe();
+        loop {
+            if let Some(retry_delay) = self.refused_for(request) {
+                return retry_delay;
+            }
+            // The sender lives as long as the entry.
+            let _ = convicted.changed().await;
+        }
+    }
+}
+
+fn incarnation(upstream: &Upstream) -> suspect::Incarnation {
+    suspect::Incarnation::new(upstream.vm.as_str(), upstream.started_at)
+}
+
+/// Whether `upstream` refuses connections. One that cannot be reached may be cut off.
+async fn has_ended(upstream: &Upstream) -> bool {
+    let connected = socket::connect(upstream.address, CHECK_TIMEOUT).await;
+    connected.is_err_and(|error| error.kind() == io::ErrorKind::ConnectionRefused)
+}
--- a/crates/agateflowd/src/direct/entry.rs
+++ b/crates/agateflowd/src/direct/entry.rs
@@ -8,7 +8,7 @@
 use agateflow::direct::directory::{Change, Directory, Revision, Upstream};
 use agateflow::direct::group::{self, Group};
 use agateflow::direct::load::Load;
-use agateflow::direct::{budget, config, peer, suspect};
+use agateflow::direct::{budget, config, culprit, peer, suspect};
 use agateflow::event::Event;
 use agateflow::{id, unit};
 use indexmap::IndexMap;
@@ -19,12 +19,8 @@
 use super::adapter::Dialect;
 use super::permit::Service;
 use super::pool::Pool;
-use super::request::Request;
 use crate::event;
 
-/// Latest crashes kept for heartbeats.
-const MAX_RECENT_CRASHES: usize = 16;
-
 /// Startup options of an entry.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -68,6 +64,8 @@
     pub agents: RefCell<peer::Agents>,
     /// Requests suspected of crashing upstreams.
     pub suspects: RefCell<suspect::Register>,
+    /// Parts of prompts suspected of crashing upstreams.
+    pub culprits: RefCell<culprit::Register>,
     /// Queues and retry budgets by service.
     pub services: RefCell<IndexMap<id::Service, Service>>,
     /// Lock-step groups of ranks.
@@ -80,7 +78,10 @@
     pub heartbeat_trigger: Notify,
     /// Whether the process is shutting down.
     pub shutting_down: watch::Sender<bool>,
-    recent_crashes: RefCell<Vec<suspect::Crash>>,
+    /// Triggers a check of requests in progress after a conviction.
+    pub convicted: watch::Sender<()>,
+    /// Crashes to report in heartbeats.
+    pub recent_crashes: RefCell<Vec<suspect::Crash>>,
     table: RefCell<Option<Rc<config::Table>>>,
     in_progress: Cell<usize>,
     start: Instant,
@@ -99,12 +100,14 @@
             peers: RefCell::new(peers),
             agents: RefCell::default(),
             suspects: RefCell::default(),
+            culprits: RefCell::default(),
             services: RefCell::default(),
             groups: RefCell::default(),
             peer_costs: RefCell::default(),
             rng: RefCell::new(Pcg64Mcg::from_rng(&mut rand::rng())),
             heartbeat_trigger: Notify::new(),
             shutting_down: watch::Sender::new(false),
+            convicted: watch::Sender::new(()),
             recent_crashes: RefCell::default(),
             table: RefCell::new(None),
             in_progress: Cell::new(0),
@@ -212,33 +215,6 @@
         self.peers.borrow().entry_count()
     }
 
-    /// Records that `upstream` broke off while `request` ran.
-    pub fn record_crash(&self, request: &Request, upstream: &Upstream) {
-        let lifetime = suspect::Incarnation::new(upstream.vm.as_str(), upstream.started_at);
-        self.add_crash(suspect::Crash { request: request.fingerprint, upstream: lifetime });
-        event!(self.logger, Event::CrashRecorded; "id" => &*request.info.id,
-            "upstream" => %upstream.vm, "parts" => request.info.prompt_parts.join(" "),
-            "crashes" => self.suspects.borrow().crashes(request.fingerprint));
-    }
-
-    /// Records a crash. A new one is passed on with the next heartbeats.
-    pub fn add_crash(&self, crash: suspect::Crash) {
-        let now = self.now();
-        if !self.suspects.borrow_mut().record_crash(crash, now) {
-            return;
-        }
-        let mut crashes = self.recent_crashes.borrow_mut();
-        if crashes.len() >= MAX_RECENT_CRASHES {
-            crashes.remove(0);
-        }
-        crashes.push(crash);
-    }
-
-    /// Recent crashes, own and reported.
-    pub fn recent_crashes(&self) -> Vec<suspect::Crash> {
-        self.recent_crashes.borrow().clone()
-    }
-
     /// State that another entry needs to start.
     pub fn snapshot(&self) -> peer::Snapshot {
         let directory = self.directory.borrow();
--- a/crates/agateflowd/src/direct/gossip.rs
+++ b/crates/agateflowd/src/direct/gossip.rs
@@ -24,6 +24,9 @@
 /// Addresses of other entries per heartbeat, in rotation.
 const ADDRESSES_PER_HEARTBEAT: usize = 4;
 
+/// Largest number of items of evidence in a heartbeat.
+const MAX_ITEMS: usize = 64;
+
 /// Sends heartbeats, early when state changes.
 pub async fn send(entry: Rc<Entry>, socket: Rc<UdpSocket>) {
     for turn in 0.. {
@@ -68,6 +71,7 @@
         costs: entry.high_cost_factors(),
         draining: directory.draining(),
         crashes: entry.recent_crashes(),
+        evidence: entry.culprits.borrow_mut().take_items(MAX_ITEMS, entry.now()),
         known: known.map(|index| present[index]).collect(),
     }
 }
@@ -106,6 +110,7 @@
     for crash in &heartbeat.crashes {
         entry.add_crash(*crash);
     }
+    entry.merge_evidence(&heartbeat.evidence);
     entry.directory.borrow_mut().mark_draining(&heartbeat.draining);
     entry.peer_costs.borrow_mut().extend(heartbeat.costs);
     let name = heartbeat.address.to_string();
--- a/crates/agateflowd/src/direct/mod.rs
+++ b/crates/agateflowd/src/direct/mod.rs
@@ -6,6 +6,7 @@
 pub mod adapter;
 pub mod agent;
 pub mod call;
+mod crash;
 pub mod endpoint;
 pub mod entry;
 pub mod exchange;
--- a/crates/agateflowd/src/direct/permit.rs
+++ b/crates/agateflowd/src/direct/permit.rs
@@ -52,6 +52,8 @@
     Closed(unit::Millis),
     /// The wait would be too long.
     Busy(unit::Millis),
+    /// The request crashes upstreams.
+    Convicted(unit::Millis),
 }
 
 /// Permission to send a request, given back on drop.
@@ -68,6 +70,8 @@
     pub limit: f64,
     /// Request cost of its group, against evenly loaded experts.
     pub cost_factor: Option<f64>,
+    /// When it was granted.
+    pub granted_at: unit::Millis,
 }
 
 impl Drop for Permit {
@@ -238,6 +242,7 @@
             max_active,
             limit,
             cost_factor,
+            granted_at: now,
         })
     }
 
--- a/crates/agateflowd/src/direct/request.rs
+++ b/crates/agateflowd/src/direct/request.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use agateflow::direct::{config, suspect};
+use agateflow::direct::{config, culprit, suspect};
 use agateflow::{id, unit};
 use bytes::Bytes;
 use http::header::{
@@ -62,6 +62,16 @@
     pub deadline: unit::Millis,
     /// Identifies repetitions of the request.
     pub fingerprint: suspect::Fingerprint,
+    /// Parts of its prompt that other requests may share.
+    pub parts: Box<[culprit::Part]>,
+}
+
+impl Request {
+    /// Hashes of the shared parts of its prompt, as the log names them.
+    pub fn part_hashes(&self) -> String {
+        let hashes: Vec<String> = self.parts.iter().map(ToString::to_string).collect();
+        hashes.join(" ")
+    }
 }
 
 /// Why a request is not forwarded.
@@ -131,7 +141,9 @@
     let time_limit = info.caller_timeout.unwrap_or(route.timeout).min(route.timeout);
     let name = team.as_ref().map_or("", |team| team.name.as_str());
     let target = head.uri.path_and_query().map_or("/", |target| target.as_str());
+    let parts = info.prompt_parts.iter();
     Ok(Request {
+        parts: parts.map(|id| culprit::Part::new(service.as_str(), id.as_bytes())).collect(),
         fingerprint: suspect::Fingerprint::new(name, head.method.as_str(), target, &body),
         priority: team.as_ref().and_then(|team| team.priority).unwrap_or(route.priority),
         team: team.map(|team| team.name),
--- a/crates/agateflowd/src/direct/stream.rs
+++ b/crates/agateflowd/src/direct/stream.rs
@@ -7,6 +7,7 @@
 use agateflow::direct::directory::Upstream;
 use agateflow::direct::events::Splitter;
 use agateflow::direct::load::Health;
+use agateflow::direct::progress::Progress;
 use agateflow::event::Event;
 use agateflow::{outcome, unit};
 use async_stream::stream;
@@ -35,6 +36,7 @@
     Broken(Box<str>),
     Silent,
     DeadlineExceeded,
+    Convicted,
 }
 
 /// Logs a stream whose caller disconnected.
@@ -64,11 +66,11 @@
         let mut source = Some((exchange.connection, exchange.permit));
         let mut splitter = Splitter::new(guard.call.last_event);
         let mut previous_event_at: Option<Instant> = None;
-        let mut began_at = Instant::now();
+        let mut progress = Progress::new();
         let mut silent_since = time::Instant::now();
         loop {
             let upstream = source.as_ref().map(|(_, permit)| &permit.upstream);
-            let part = next_part(&guard.call, upstream, silent_since, &mut body).await;
+            let part = next_part(&guard.call, upstream, silent_since, progress, &mut body).await;
             let reason: Box<str> = match part {
                 Part::Data(bytes) => match splitter.push(&bytes) {
                     Ok(events) if events.is_empty() => continue,
@@ -76,6 +78,9 @@
                         if let Some((_, permit)) = &source {
                             record_event(&mut guard.call, &permit.upstream, &mut previous_event_at);
                         }
+                        if progress.record_part(guard.call.entry.now()) {
+                            guard.call.entry.record_answer(&guard.call.request);
+                        }
                         guard.call.last_event = splitter.last_id();
                         silent_since = time::Instant::now();
                         yield Ok(Frame::data(events));
@@ -96,14 +101,19 @@
                     yield Err(reply::Error::from("deadline exceeded"));
                     return;
                 }
+                Part::Convicted => {
+                    guard.ended = true;
+                    record_cut(&guard.call, "request crashes upstreams");
+                    yield Err(reply::Error::from("request crashes upstreams"));
+                    return;
+                }
             };
             splitter.discard_partial();
-            let answered = previous_event_at.is_some_and(|at| at > began_at);
-            match resume(&mut guard.call, source.take(), &reason, answered).await {
+            match resume(&mut guard.call, source.take(), &reason, progress).await {
                 Some(exchange) => {
                     body = exchange.response.into_body();
                     silent_since = time::Instant::now();
-                    began_at = Instant::now();
+                    progress = Progress::new();
                     source = Some((exchange.connection, exchange.permit));
                 }
                 None => {
@@ -124,6 +134,7 @@
     call: &Call,
     upstream: Option<&Upstream>,
     silent_since: time::Instant,
+    progress: Progress,
     body: &mut Incoming,
 ) -> Part {
     let deadline = call.entry.instant_at(call.request.deadline);
@@ -137,11 +148,18 @@
             None => std::future::pending().await,
         }
     };
-    tokio::pin!(movable);
+    let convicted = async {
+        match progress.is_answered(call.entry.now()) {
+            true => std::future::pending().await,
+            false => call.entry.refusal_of(&call.request).await,
+        }
+    };
+    tokio::pin!(movable, convicted);
     loop {
         let frame = tokio::select! {
             frame = time::timeout_at(deadline.min(silent), body.frame()) => frame,
             () = &mut movable => return Part::Silent,
+            _ = &mut convicted => return Part::Convicted,
         };
         let frame = match frame {
             Err(_) if deadline <= silent => return Part::DeadlineExceeded,
@@ -174,6 +192,7 @@
     guard.ended = true;
     let call = &guard.call;
     call.entry.suspects.borrow_mut().clear(call.request.fingerprint);
+    call.entry.record_answer(&call.request);
     if let Some((connection, permit)) = source {
         let now = call.entry.now();
         call.entry.load.borrow_mut().observe(&permit.upstream.vm, Health::Good, now);
@@ -193,15 +212,22 @@
     call: &mut Call,
     source: Option<(pool::Connection, Permit)>,
     reason: &str,
-    answered: bool,
+    progress: Progress,
 ) -> Option<Exchange> {
     if let Some((connection, permit)) = source {
+        let answered = progress.is_answered(call.entry.now());
         event!(call.entry.logger, Event::UpstreamFailed; "id" => &*call.request.info.id,
             "upstream" => %permit.upstream.vm, "reason" => reason, "last_event" => call.last_event,
             "answered" => answered);
         drop(connection);
-        call.entry.record_crash(&call.request, &permit.upstream);
+        call.entry.record_break(&call.request, &permit.upstream);
         call.end_attempt(&permit.upstream, attempt::Outcome::Broken, Health::Bad);
+        match answered {
+            true => call.entry.record_answer(&call.request),
+            false => {
+                call.entry.check_crash(&call.request, permit.granted_at, &permit.upstream).await;
+            }
+        }
     }
     let deadline = call.entry.instant_at(call.request.deadline);
     let mut end = attempt::Outcome::Broken;
--- a/crates/agateflowd/src/meter.rs
+++ b/crates/agateflowd/src/meter.rs
@@ -29,6 +29,9 @@
 /// Requests refused, by reason.
 const REFUSALS: &str = "agateflow_refusals_total";
 
+/// Parts of prompts convicted of crashing upstreams.
+const CONVICTIONS: &str = "agateflow_convictions_total";
+
 /// Time that a request waited before it was sent, in seconds.
 const PLACE: &str = "agateflow_place_seconds";
 
@@ -122,6 +125,11 @@
     counter!(REFUSALS, "service" => service.to_string(), "reason" => reason).increment(1);
 }
 
+/// Counts a conviction of a part of prompts.
+pub fn convicted() {
+    counter!(CONVICTIONS).increment(1);
+}
+
 /// Records the time from a request's arrival to its sending.
 pub fn placed(service: &id::Service, waited: Duration) {
     histogram!(PLACE, "service" => service.to_string()).record(waited);
