Tell with the evidence which crash a request was sent after

The item names the crash that its entry knew when it sent the request.

request_sent_again_at_once_is_convicted_at_entries_whose_clocks_differ plays the arrival 19 ms closer; it does not compile against the items before.

--- a/crates/agateflow/src/direct/culprit/mod.rs
+++ b/crates/agateflow/src/direct/culprit/mod.rs
@@ -64,6 +64,8 @@
     pub evidence: Evidence,
     /// Time from the sending of the last request with the part to the crash.
     pub run_time: unit::Millis,
+    /// An earlier crash with the part, after which the entry sent that request.
+    pub after: Option<suspect::Incarnation>,
     /// Time until the crash is forgotten.
     pub ttl: unit::Millis,
 }
--- a/crates/agateflow/src/direct/culprit/register.rs
+++ b/crates/agateflow/src/direct/culprit/register.rs
@@ -25,6 +25,7 @@
 struct Role {
     evidence: Evidence,
     run_time: unit::Millis,
+    after: Option<Incarnation>,
 }
 
 #[derive(Clone, Debug)]
@@ -62,8 +63,10 @@
         let mut sorted: Vec<(Evidence, Part)> =
             parts.iter().map(|&part| (self.own_evidence(part, now, now), part)).collect();
         sorted.sort_unstable();
+        let expires = now + LIFETIME;
         for (evidence, part) in sorted {
-            self.insert(crash, part, Role { evidence, run_time }, now + LIFETIME, now);
+            let after = self.last_crash(part, expires.saturating_sub(run_time));
+            self.insert(crash, part, Role { evidence, run_time, after }, expires, now);
             self.news.insert((crash, part), SENDS);
         }
         self.judge(now)
@@ -93,7 +96,8 @@
         for item in items {
             let expires = now + item.ttl.min(LIFETIME);
             let own = self.own_evidence(item.part, expires.saturating_sub(LIFETIME), now);
-            let role = Role { evidence: own.max(item.evidence), run_time: item.run_time };
+            let evidence = own.max(item.evidence);
+            let role = Role { evidence, run_time: item.run_time, after: item.after };
             changed |= self.insert(item.crash, item.part, role, expires, now);
             if own > item.evidence {
                 self.news.entry((item.crash, item.part)).or_insert(SENDS);
@@ -102,6 +106,13 @@
         if changed { self.judge(now) } else { Vec::new() }
     }
 
+    /// The last crash with `part` that expires by `before`.
+    fn last_crash(&self, part: Part, before: unit::Millis) -> Option<Incarnation> {
+        let with_part = self.crashes.iter().filter(|(_, crash)| crash.parts.contains_key(&part));
+        let earlier = with_part.filter(|(_, crash)| crash.expires <= before);
+        earlier.max_by_key(|(_, crash)| crash.expires).map(|(&incarnation, _)| incarnation)
+    }
+
     /// What this entry's own answers say of a part in a crash at `crashed_at`.
     fn own_evidence(&self, part: Part, crashed_at: unit::Millis, now: unit::Millis) -> Evidence {
         match self.answers.last(part, now) {
@@ -135,9 +146,13 @@
             known.parts.insert(part, role);
             return true;
         };
-        let changed = role.evidence > before.evidence || role.run_time < before.run_time;
+        let is_later = role.run_time < before.run_time;
+        let changed = is_later || role.evidence > before.evidence;
         before.evidence = before.evidence.max(role.evidence);
-        before.run_time = before.run_time.min(role.run_time);
+        if is_later {
+            before.run_time = role.run_time;
+            before.after = role.after;
+        }
         changed
     }
 
@@ -158,20 +173,20 @@
 
     fn observations(&self, now: unit::Millis) -> Observations {
         let mut observations = Observations::new();
-        for (index, crash) in self.crashes.values().enumerate() {
-            for (&part, &Role { evidence, run_time }) in &crash.parts {
+        for (&incarnation, crash) in &self.crashes {
+            for (&part, &Role { evidence, run_time, after }) in &crash.parts {
                 let answered = self.answers.last(part, now).is_some();
                 let evidence = match evidence {
                     Evidence::Unanswered if answered => Evidence::AnsweredBefore,
                     evidence => evidence,
                 };
-                let observation =
-                    Observation { crash: index, expires: crash.expires, evidence, run_time };
+                let (crash, expires) = (incarnation, crash.expires);
+                let observation = Observation { crash, expires, evidence, run_time, after };
                 observations.entry(part).or_default().push(observation);
             }
         }
         for seen in observations.values_mut() {
-            seen.sort_by_key(|observation| observation.expires);
+            seen.sort_by_key(|observation| (observation.expires, observation.crash));
         }
         observations
     }
@@ -205,9 +220,9 @@
 
     fn item(&self, incarnation: Incarnation, part: Part, now: unit::Millis) -> Option<Item> {
         let crash = self.crashes.get(&incarnation)?;
-        let &Role { evidence, run_time } = crash.parts.get(&part)?;
+        let &Role { evidence, run_time, after } = crash.parts.get(&part)?;
         let ttl = crash.expires.saturating_sub(now);
-        Some(Item { part, crash: incarnation, evidence, run_time, ttl })
+        Some(Item { part, crash: incarnation, evidence, run_time, after, ttl })
     }
 
     fn repeated_items(&mut self, count: usize, now: unit::Millis) -> Vec<Item> {
--- a/crates/agateflow/src/direct/culprit/verdict.rs
+++ b/crates/agateflow/src/direct/culprit/verdict.rs
@@ -7,6 +7,7 @@
 use indexmap::{IndexMap, IndexSet};
 
 use super::{Conviction, Evidence, LIFETIME, Part};
+use crate::direct::suspect::Incarnation;
 use crate::unit;
 
 /// Separate crashes that convict a part.
@@ -24,14 +25,16 @@
 /// A crash, as far as it concerns one part.
 #[derive(Clone, Copy, Debug)]
 pub struct Observation {
-    /// Index of the crash.
-    pub crash: usize,
+    /// The upstream that crashed.
+    pub crash: Incarnation,
     /// When the crash is forgotten.
     pub expires: unit::Millis,
     /// What is known of the part.
     pub evidence: Evidence,
     /// Time from the sending of the last request with the part to the crash.
     pub run_time: unit::Millis,
+    /// An earlier crash, after which that request was sent.
+    pub after: Option<Incarnation>,
 }
 
 /// Observations of each part, by time.
@@ -47,25 +50,30 @@
 }
 
 impl Case {
-    fn new(part: Part, observations: &[Observation], explained: &IndexSet<usize>) -> Self {
+    fn new(part: Part, observations: &[Observation], explained: &IndexSet<Incarnation>) -> Self {
         let mut case =
             Self { part, crashes: 0, min_crashes: MIN_CRASHES, last_expires: unit::Millis::ZERO };
-        for observation in observations {
-            if observation.evidence > Evidence::Unanswered {
-                case.min_crashes = MIN_CRASHES_IF_ANSWERED;
-            }
-            if observation.evidence == Evidence::AnsweredSince
-                || explained.contains(&observation.crash)
-            {
-                continue;
-            }
-            // A failed rack or a cut ends many upstreams at once: only requests sent after the crash
-            // before it make a crash count of its own.
-            let sent = observation.expires.saturating_sub(observation.run_time);
-            if case.crashes == 0 || sent >= case.last_expires {
+        if observations.iter().any(|seen| seen.evidence > Evidence::Unanswered) {
+            case.min_crashes = MIN_CRASHES_IF_ANSWERED;
+        }
+        // A failed rack or a cut ends many upstreams at once: only a request sent after the crash
+        // before it makes a crash count of its own. Clocks of entries differ by the time that
+        // messages take, so `after` tells what its own entry knew.
+        let mut counted_with: Vec<Incarnation> = Vec::new();
+        let counts = |seen: &&Observation| {
+            seen.evidence < Evidence::AnsweredSince && !explained.contains(&seen.crash)
+        };
+        for seen in observations.iter().filter(counts) {
+            let sent = seen.expires.saturating_sub(seen.run_time);
+            let is_separate = case.crashes == 0
+                || sent >= case.last_expires
+                || seen.after.is_some_and(|after| counted_with.contains(&after));
+            if is_separate {
                 case.crashes += 1;
-                case.last_expires = observation.expires;
+                case.last_expires = seen.expires;
+                counted_with.clear();
             }
+            counted_with.push(seen.crash);
         }
         case
     }
--- a/crates/agateflow/src/direct/suspect.rs
+++ b/crates/agateflow/src/direct/suspect.rs
@@ -38,7 +38,7 @@
 }
 
 /// Hash of an upstream's identity and start time.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Incarnation(u64);
 
--- a/crates/agateflow/tests/culprit.rs
+++ b/crates/agateflow/tests/culprit.rs
@@ -192,6 +192,21 @@
     }
 }
 
+#[test]
+fn request_sent_again_at_once_is_convicted_at_entries_whose_clocks_differ() {
+    let (mut sender, mut other) = (Register::new(), Register::new());
+    play(&mut sender, "1000 crash 1 deadly");
+    let first = sender.take_items(64, ms(1_000));
+    play(&mut sender, "1060 crash 2 deadly");
+    let second = sender.take_items(64, ms(1_060));
+
+    other.merge(&first, ms(8_020));
+    other.merge(&second, ms(8_061));
+
+    assert!(is_refused(&sender, "deadly", 1_061));
+    assert!(is_refused(&other, "deadly", 8_062));
+}
+
 #[test]
 fn entry_that_saw_answers_protects_a_part_at_one_that_has_just_started() {
     let (mut experienced, mut new) = (Register::new(), Register::new());
@@ -234,6 +249,7 @@
         crash: crash(1),
         evidence: Evidence::Unanswered,
         run_time: RUN_TIME,
+        after: None,
         ttl: ms(0),
     };
 
@@ -277,6 +293,7 @@
                 _ => Evidence::AnsweredSince,
             },
             run_time: ms(number * 7 % 5 * 300),
+            after: (number % 2 == 1).then(|| crash(number - 1)),
             ttl: LIFETIME.saturating_sub(ms(10_000 - number * 900)),
         };
         let mut items: Vec<Item> = observations.iter().map(item).collect();
