Treat a stream without framing that ends before its first event as broken off

Callers saw: 200 and an empty, whole answer, where an engine had closed its connection after the head of a stream with neither length nor chunks. Such a stream ends with its connection, so its end looked like the end of the answer. One that ends inside an event was resumed or cut before, and one that ends between events is whole; with a length or chunks the HTTP library tells a broken end.

The former data path asks for the end marker of a stream and was not affected (tests/answer.rs).

--- a/crates/agateflowd/src/direct/stream.rs
+++ b/crates/agateflowd/src/direct/stream.rs
@@ -12,6 +12,7 @@
 use agateflow::{outcome, unit};
 use async_stream::stream;
 use bytes::Bytes;
+use http::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
 use http::{Response, StatusCode};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
@@ -57,6 +58,7 @@
 /// Forwards a stream. The head is the first upstream's.
 pub fn forward(call: Call, exchange: Exchange) -> Response<reply::Body> {
     let (mut head, body) = exchange.response.into_parts();
+    let mut ends_with_connection = ends_with_connection(&head.headers);
     head.headers = request::strip_hop_by_hop(std::mem::take(&mut head.headers));
     let request_guard = call.entry.track_request();
     let parts = stream! {
@@ -89,6 +91,7 @@
                     Err(error) => error.to_string().into(),
                 },
                 Part::End if splitter.has_partial() => "event incomplete".into(),
+                Part::End if ends_with_connection && progress.is_empty() => "no event".into(),
                 Part::End => {
                     finish(&mut guard, source.take());
                     return;
@@ -111,6 +114,7 @@
             splitter.discard_partial();
             match resume(&mut guard.call, source.take(), &reason, progress).await {
                 Some(exchange) => {
+                    ends_with_connection = self::ends_with_connection(exchange.response.headers());
                     body = exchange.response.into_body();
                     silent_since = time::Instant::now();
                     progress = Progress::new();
@@ -128,6 +132,12 @@
     Response::from_parts(head, Box::pin(StreamBody::new(parts)))
 }
 
+/// Whether a response has neither a length nor chunks. If it ends before its first event, the
+/// upstream has broken off.
+fn ends_with_connection(headers: &HeaderMap) -> bool {
+    !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING)
+}
+
 /// Waits for the next part. A stream without events for too long moves to another upstream if it
 /// can, else it may go on until the deadline. Bytes that complete no event do not count.
 async fn next_part(
