Convict messages that crash engines on the former data path as well

The same cause there: a request was known by the digest of team, method, path and body. Conversations that share one message crashed one engine after the other. Each message but the last of a chat request is a part of its prompt; the evidence against requests and parts moves from the driver to a module of its own.

--- a/crates/agateflowd/src/entry/call.rs
+++ b/crates/agateflowd/src/entry/call.rs
@@ -2,12 +2,14 @@
 
 use agateflow::admission::{self, answer};
 use agateflow::config;
+use agateflow::direct::culprit;
 use agateflow::id;
 use agateflow::unit;
 use agateflow::wire::frame;
 use bytes::Bytes;
 use http::{StatusCode, header};
 use serde::Deserialize;
+use serde_json::value::RawValue;
 
 use crate::entry::problem::Problem;
 use crate::meter;
@@ -78,6 +80,8 @@
     pub key: frame::Key,
     /// Digest of team, method, path and body.
     pub digest: admission::Digest,
+    /// Messages of the prompt without the last, which other requests may share.
+    pub parts: Box<[culprit::Part]>,
     /// Estimated tokens of prompt and output.
     pub tokens: unit::Tokens,
     /// How long the caller waits for the response.
@@ -96,8 +100,10 @@
 }
 
 #[derive(Deserialize)]
-struct Chat {
+struct Chat<'a> {
     model: Box<str>,
+    #[serde(default, borrow)]
+    messages: Option<&'a RawValue>,
     #[serde(default)]
     stream: bool,
     #[serde(default, alias = "max_completion_tokens")]
@@ -161,6 +167,7 @@
         path,
         headers: forwarded_headers(&parts.headers),
         body,
+        parts: properties.parts,
         stream: properties.stream,
         repeatable: properties.repeatable,
         key: parse_key(&parts.headers)?,
@@ -175,6 +182,7 @@
     stream: bool,
     repeatable: bool,
     tokens: unit::Tokens,
+    parts: Box<[culprit::Part]>,
 }
 
 fn parse_chat(
@@ -201,8 +209,18 @@
     }
     let output = unit::Tokens::new(chat.max_tokens.unwrap_or(DEFAULT_OUTPUT_TOKENS));
     let tokens = prompt_tokens(body) + output;
+    let parts = shared_parts(&model, chat.messages);
     let target = Target::Model(model);
-    Ok(Properties { target, stream: chat.stream, repeatable: true, tokens })
+    Ok(Properties { target, stream: chat.stream, repeatable: true, tokens, parts })
+}
+
+/// Hashes all messages but the last. What is no list of messages is left to the engine.
+fn shared_parts(model: &id::Model, messages: Option<&RawValue>) -> Box<[culprit::Part]> {
+    let list = messages.map(RawValue::get).unwrap_or_default();
+    let mut messages: Vec<&RawValue> = serde_json::from_str(list).unwrap_or_default();
+    messages.pop();
+    let part = |message: &&RawValue| culprit::Part::new(model.as_str(), message.get().as_bytes());
+    messages.iter().map(part).collect()
 }
 
 fn match_route(
@@ -220,7 +238,8 @@
     }
     let target = Target::Service(route.service.clone());
     let repeatable = route.repeatable;
-    Ok(Properties { target, stream: false, repeatable, tokens: unit::Tokens::ZERO })
+    let tokens = unit::Tokens::ZERO;
+    Ok(Properties { target, stream: false, repeatable, tokens, parts: Box::default() })
 }
 
 fn parse_key(headers: &http::HeaderMap) -> Result<frame::Key, Problem> {
--- a/crates/agateflowd/src/entry/driver.rs
+++ b/crates/agateflowd/src/entry/driver.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, PoisonError};
 
 use agateflow::admission::answer;
+use agateflow::direct::progress::Progress;
 use agateflow::direct::suspect;
 use agateflow::event::Event;
 use agateflow::id;
@@ -21,7 +22,7 @@
 use crate::clock;
 use crate::entry::call::{self, Call};
 use crate::entry::problem::Problem;
-use crate::entry::{Shared, balancer, quota};
+use crate::entry::{Shared, balancer, quota, suspects};
 use crate::event;
 use crate::link::client::{self, Link};
 use crate::meter;
@@ -37,9 +38,6 @@
 /// Retry-After if no upstream is available.
 const RETRY_AFTER: unit::Millis = unit::Millis::new(1_000);
 
-/// Retry-After for a request that crashes engines: about as long as its crashes are kept.
-const POISON_RETRY_AFTER: unit::Millis = unit::Millis::new(60_000);
-
 /// A part of the response to the caller.
 pub enum Part {
     /// Status and headers.
@@ -76,6 +74,8 @@
     acknowledged: unit::Bytes,
     /// Counts as load of the upstream until the attempt ends.
     load_guard: Option<balancer::Guard>,
+    sent_at: unit::Millis,
+    progress: Progress,
 }
 
 impl Driver {
@@ -195,9 +195,8 @@
         if let Some(attempt) = self.attempts.get_mut(&id).filter(|_| is_final) {
             attempt.load_guard = None;
             balancer::record_end(&self.shared, &attempt.link.peer.vm, &frame);
-            let peer = attempt.link.peer.clone();
-            self.update_suspects(&frame, &peer.vm, peer.incarnation);
         }
+        self.update_suspects(id, &frame);
         let frame = match frame {
             wire::Frame::Refused(refused) => {
                 request::Frame::Refused { reason: refused.reason, retry_after: refused.retry_after }
@@ -216,24 +215,43 @@
         Input::Frame { from, id, frame }
     }
 
-    /// Records an engine crash during the request, or clears its crashes if it completed.
-    fn update_suspects(&self, frame: &wire::Frame, vm: &id::Vm, incarnation: id::Incarnation) {
+    /// Records what a frame about an attempt says against the request and the parts of its prompt.
+    fn update_suspects(&mut self, id: id::Attempt, frame: &wire::Frame) {
+        let Some(attempt) = self.attempts.get_mut(&id) else { return };
         let mut suspects = self.shared.suspects.lock().unwrap_or_else(PoisonError::into_inner);
+        let (now, parts) = (clock::now(), &self.call.parts);
         match frame {
+            wire::Frame::Data(_) if attempt.progress.record_part(now) => {
+                suspects.record_answer(parts, now);
+            }
+            wire::Frame::End(_) => suspects.record_end(self.fingerprint, parts, now),
             wire::Frame::Failed(failed) if failed.crashed => {
-                let upstream = suspect::Incarnation::new(vm.as_str(), incarnation.get() as u64);
-                let crash = suspect::Crash { request: self.fingerprint, upstream };
-                suspects.record_crash(crash, clock::now());
+                let peer = &attempt.link.peer;
+                suspects.record_request(self.fingerprint, &peer.vm, peer.incarnation, now);
+                if attempt.progress.is_answered(now) {
+                    return;
+                }
+                let crashed = suspects::Attempt {
+                    vm: &peer.vm,
+                    incarnation: peer.incarnation,
+                    parts,
+                    sent_at: attempt.sent_at,
+                };
+                for conviction in suspects.record_attempt(&crashed, now) {
+                    event!(self.shared.logger, Event::PartConvicted; "part" => %conviction.part,
+                        "crashes" => conviction.crashes,
+                        "duration" => %conviction.until.saturating_sub(now));
+                    meter::convicted();
+                }
             }
-            wire::Frame::End(_) => suspects.clear(self.fingerprint),
             _ => {}
         }
     }
 
-    /// Whether the request crashed too many engines.
-    fn is_poison(&self) -> bool {
+    /// Retry-After of a request that is refused because it crashes engines.
+    fn refusal(&self) -> Option<unit::Millis> {
         let suspects = self.shared.suspects.lock().unwrap_or_else(PoisonError::into_inner);
-        suspects.is_poison(self.fingerprint, clock::now())
+        suspects.refusal(self.fingerprint, &self.call.parts, clock::now())
     }
 
     /// Advances the window of the upstream process. The caller's queue bounds the unsent bytes.
@@ -274,10 +292,10 @@
     }
 
     fn choose_upstream(&mut self, home: Option<&id::Vm>, exclude: &[id::Vm]) {
-        if self.is_poison() {
+        if let Some(retry_after) = self.refusal() {
             event!(self.shared.logger, Event::RequestNotServed;
                 "team" => %self.call.team, "detail" => "request crashes engines");
-            return self.handle_input(Input::NoUpstream { retry_after: POISON_RETRY_AFTER });
+            return self.handle_input(Input::NoUpstream { retry_after });
         }
         let input = match balancer::choose_for_call(&self.shared, &self.call, home, exclude) {
             Some(link) => Input::Chosen(Target {
@@ -301,7 +319,14 @@
         if link.try_send(wire::Frame::Start(Box::new(start))) {
             let load_guard = Some(balancer::Guard::new(&self.shared, &self.call, id, &target.vm));
             let acknowledged = unit::Bytes::new(offset);
-            let attempt = Attempt { link, _subscription: subscription, acknowledged, load_guard };
+            let attempt = Attempt {
+                link,
+                _subscription: subscription,
+                acknowledged,
+                load_guard,
+                sent_at: clock::now(),
+                progress: Progress::new(),
+            };
             self.attempts.insert(id, attempt);
         } else {
             self.handle_input(Input::Unsent(id));
--- a/crates/agateflowd/src/entry/mod.rs
+++ b/crates/agateflowd/src/entry/mod.rs
@@ -6,6 +6,7 @@
 pub mod http;
 pub mod problem;
 pub mod quota;
+pub mod suspects;
 pub mod tickets;
 
 use std::net::SocketAddr;
@@ -15,7 +16,6 @@
 
 use agateflow::admission::ticket;
 use agateflow::config;
-use agateflow::direct::suspect;
 use agateflow::limit;
 use agateflow::request;
 use agateflow::unit;
@@ -32,9 +32,6 @@
 /// Interval between checks for requests in progress during a drain.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 
-/// Maximum number of engine crashes per request and entry before the request is rejected.
-const MAX_CRASHES: usize = 2;
-
 /// Limits of callers' requests.
 #[derive(Clone, Debug)]
 pub struct Limits {
@@ -94,8 +91,8 @@
     pub quota: Mutex<limit::Table>,
     /// State of the load balancer.
     pub selector: Mutex<balancer::Selector>,
-    /// Requests that were in progress when an engine crashed.
-    pub suspects: Mutex<suspect::Register>,
+    /// Requests and parts of prompts that may crash engines.
+    pub suspects: Mutex<suspects::Suspects>,
     /// Logger.
     pub logger: slog::Logger,
     requests_in_progress: AtomicUsize,
@@ -169,7 +166,7 @@
             request_counter: AtomicU64::new(0),
             quota: Mutex::new(quota),
             selector: Mutex::new(balancer::Selector::new(seed)),
-            suspects: Mutex::new(suspect::Register::new().with_max_crashes(MAX_CRASHES)),
+            suspects: Mutex::default(),
             logger: options.logger,
             requests_in_progress: AtomicUsize::new(0),
             draining: AtomicBool::new(false),
