Convict a part that was never answered by one crash, and keep crashes complete

Causes: (1) requests given up at a conviction crashed their ranks 20 ms later all the same, and those crashes named only sound parts; (2) two deadly parts that had met in one crash took turns: whichever was convicted first explained the crash of the other and freed it; (3) parts that came together in each crash were told apart by their hash; (4) each part cost two outages of 4 s.

Change: what is in progress goes on. A part with two crashes is convicted if one of them is unexplained. Parts that the crashes do not tell apart are convicted together, for requests that have all of them.

--- a/crates/agateflow/src/direct/attempt.rs
+++ b/crates/agateflow/src/direct/attempt.rs
@@ -17,8 +17,6 @@
     Broken,
     /// No response arrived in time.
     Silent,
-    /// This entry gave it up because requests like it crash upstreams.
-    GivenUp,
 }
 
 impl Outcome {
@@ -31,7 +29,6 @@
             Outcome::Failed => "failed",
             Outcome::Broken => "broken",
             Outcome::Silent => "silent",
-            Outcome::GivenUp => "given-up",
         }
     }
 }
@@ -128,7 +125,7 @@
             Outcome::Unsent => self.unsent += 1,
             Outcome::Misdirected => self.misdirected += 1,
             Outcome::NotRun => self.sent += 1,
-            Outcome::Failed | Outcome::Broken | Outcome::Silent | Outcome::GivenUp => {
+            Outcome::Failed | Outcome::Broken | Outcome::Silent => {
                 self.sent += 1;
                 self.maybe_ran = true;
             }
--- a/crates/agateflow/src/direct/culprit/mod.rs
+++ b/crates/agateflow/src/direct/culprit/mod.rs
@@ -70,13 +70,28 @@
     pub ttl: unit::Millis,
 }
 
-/// A part whose requests are refused.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// Parts whose requests are refused.
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Conviction {
-    /// The part.
-    pub part: Part,
-    /// Number of separate times at which it crashed upstreams.
+    /// The parts. Where the crashes do not tell several of them apart, only requests with all of
+    /// them are refused.
+    pub parts: Box<[Part]>,
+    /// Number of separate times at which they crashed upstreams.
     pub crashes: usize,
-    /// When its requests are admitted again.
+    /// When their requests are admitted again.
     pub until: unit::Millis,
 }
+
+impl Conviction {
+    /// Whether it applies to a request with `parts`.
+    pub fn applies_to(&self, parts: &[Part]) -> bool {
+        self.parts.iter().all(|part| parts.contains(part))
+    }
+}
+
+impl fmt::Display for Conviction {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let parts: Vec<String> = self.parts.iter().map(ToString::to_string).collect();
+        f.write_str(&parts.join(" "))
+    }
+}
--- a/crates/agateflow/src/direct/culprit/register.rs
+++ b/crates/agateflow/src/direct/culprit/register.rs
@@ -3,7 +3,7 @@
 use indexmap::IndexMap;
 
 use super::answers::Answers;
-use super::verdict::{self, Observation, Observations};
+use super::verdict::{self, Crash, Crashes, Role};
 use super::{Conviction, Evidence, Item, LIFETIME, Part};
 use crate::direct::suspect::Incarnation;
 use crate::unit;
@@ -20,26 +20,12 @@
 /// Items sent again in each message, in rotation, for entries that started or were cut off.
 const REPEATED_ITEMS: usize = 8;
 
-/// What is known of a part in one crash.
-#[derive(Clone, Copy, Debug)]
-struct Role {
-    evidence: Evidence,
-    run_time: unit::Millis,
-    after: Option<Incarnation>,
-}
-
-#[derive(Clone, Debug)]
-struct Crash {
-    expires: unit::Millis,
-    parts: IndexMap<Part, Role>,
-}
-
 /// What an entry knows of crashes, its own and those of other entries.
 #[derive(Clone, Debug, Default)]
 pub struct Register {
-    crashes: IndexMap<Incarnation, Crash>,
+    crashes: Crashes,
     answers: Answers,
-    convictions: IndexMap<Part, Conviction>,
+    convictions: Vec<Conviction>,
     /// Items to send, and how often.
     news: IndexMap<(Incarnation, Part), u32>,
     next_repeated: usize,
@@ -161,40 +147,22 @@
         self.crashes.retain(|_, crash| now < crash.expires);
         let crashes = &self.crashes;
         self.news.retain(|(crash, _), _| crashes.contains_key(crash));
-        let convictions = verdict::convict(&self.observations(now));
+        let is_answered = |part| self.answers.last(part, now).is_some();
+        let convictions = verdict::convict(&self.crashes, is_answered);
         let is_new = |conviction: &&Conviction| {
-            let before = self.convictions.get(&conviction.part);
-            now < conviction.until && before.is_none_or(|before| before.until <= now)
+            let mut before = self.convictions.iter();
+            now < conviction.until
+                && !before.any(|known| known.parts == conviction.parts && now < known.until)
         };
-        let new = convictions.values().filter(is_new).copied().collect();
+        let new = convictions.iter().filter(is_new).cloned().collect();
         self.convictions = convictions;
         new
     }
 
-    fn observations(&self, now: unit::Millis) -> Observations {
-        let mut observations = Observations::new();
-        for (&incarnation, crash) in &self.crashes {
-            for (&part, &Role { evidence, run_time, after }) in &crash.parts {
-                let answered = self.answers.last(part, now).is_some();
-                let evidence = match evidence {
-                    Evidence::Unanswered if answered => Evidence::AnsweredBefore,
-                    evidence => evidence,
-                };
-                let (crash, expires) = (incarnation, crash.expires);
-                let observation = Observation { crash, expires, evidence, run_time, after };
-                observations.entry(part).or_default().push(observation);
-            }
-        }
-        for seen in observations.values_mut() {
-            seen.sort_by_key(|observation| (observation.expires, observation.crash));
-        }
-        observations
-    }
-
     /// The conviction because of which a request with `parts` is refused.
-    pub fn conviction(&self, parts: &[Part], now: unit::Millis) -> Option<Conviction> {
-        let convictions = parts.iter().filter_map(|part| self.convictions.get(part));
-        convictions.filter(|conviction| now < conviction.until).max_by_key(|c| c.until).copied()
+    pub fn conviction(&self, parts: &[Part], now: unit::Millis) -> Option<&Conviction> {
+        let current = self.convictions.iter().filter(|conviction| now < conviction.until);
+        current.filter(|conviction| conviction.applies_to(parts)).max_by_key(|c| c.until)
     }
 
     /// Whether there is evidence that other entries have not been sent.
--- a/crates/agateflowd/src/direct/crash.rs
+++ b/crates/agateflowd/src/direct/crash.rs
@@ -87,7 +87,7 @@
     fn announce(&self, convictions: &[culprit::Conviction]) {
         let now = self.now();
         for conviction in convictions {
-            event!(self.logger, Event::PartConvicted; "part" => %conviction.part,
+            event!(self.logger, Event::PartConvicted; "parts" => %conviction,
                 "crashes" => conviction.crashes,
                 "duration" => %conviction.until.saturating_sub(now));
             meter::convicted();
@@ -103,7 +103,8 @@
         if self.suspects.borrow().is_poison(request.fingerprint, now) {
             return Some(POISON_RETRY_AFTER);
         }
-        let conviction = self.culprits.borrow().conviction(&request.parts, now)?;
+        let culprits = self.culprits.borrow();
+        let conviction = culprits.conviction(&request.parts, now)?;
         Some(conviction.until.saturating_sub(now))
     }
 
--- a/crates/agateflowd/src/direct/exchange.rs
+++ b/crates/agateflowd/src/direct/exchange.rs
@@ -73,16 +73,6 @@
     Ended(attempt::Outcome),
 }
 
-/// Why the head of a response did not arrive.
-enum Failure {
-    /// The connection failed.
-    Connection(pool::Error),
-    /// The upstream or its group sent nothing for too long.
-    Silent,
-    /// Meanwhile requests like this one were found to crash upstreams.
-    Convicted,
-}
-
 impl Call {
     /// Sends the request to an upstream and awaits the head of a valid response.
     ///
@@ -117,21 +107,20 @@
         let outcome = self.await_head(&mut connection, &upstream, upstream_request).await;
         let response = match outcome {
             Ok(response) => response,
-            Err(Failure::Connection(error @ pool::Error::Unsent { .. })) => {
+            Err(Some(error @ pool::Error::Unsent { .. })) => {
                 self.in_flight.set(false);
                 return Err(self.record_unsent(&upstream, &error, reused));
             }
-            Err(Failure::Connection(error @ pool::Error::Broken { .. })) => {
+            Err(Some(error @ pool::Error::Broken { .. })) => {
                 event!(self.entry.logger, Event::UpstreamFailed; "id" => &*self.request.info.id,
                     "upstream" => %upstream.vm, "reason" => %error, "answered" => false);
                 self.entry.record_break(&self.request, &upstream);
                 self.entry.check_crash(&self.request, permit.granted_at, &upstream).await;
                 return Err(self.end_attempt(&upstream, attempt::Outcome::Broken, Health::Bad));
             }
-            Err(Failure::Silent) => {
+            Err(None) => {
                 return Err(self.end_attempt(&upstream, attempt::Outcome::Silent, Health::Bad));
             }
-            Err(Failure::Convicted) => return Err(Error::Ended(attempt::Outcome::GivenUp)),
         };
         self.check_response(Exchange { response, connection, permit }).await
     }
@@ -204,15 +193,14 @@
         connection: &mut pool::Connection,
         upstream: &Upstream,
         outgoing: http::Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, Failure> {
+    ) -> Result<Response<Incoming>, Option<pool::Error>> {
         let outcome = time::timeout(self.response_timeout(), connection.send(outgoing));
         tokio::select! {
             outcome = outcome => match outcome {
-                Ok(outcome) => outcome.map_err(Failure::Connection),
-                Err(_) => Err(Failure::Silent),
+                Ok(outcome) => outcome.map_err(Some),
+                Err(_) => Err(None),
             },
-            () = self.wait_until_movable(upstream, Duration::ZERO) => Err(Failure::Silent),
-            _ = self.entry.refusal_of(&self.request) => Err(Failure::Convicted),
+            () = self.wait_until_movable(upstream, Duration::ZERO) => Err(None),
         }
     }
 
--- a/crates/agateflowd/src/direct/stream.rs
+++ b/crates/agateflowd/src/direct/stream.rs
@@ -37,7 +37,6 @@
     Broken(Box<str>),
     Silent,
     DeadlineExceeded,
-    Convicted,
 }
 
 /// Logs a stream whose caller disconnected.
@@ -72,7 +71,7 @@
         let mut silent_since = time::Instant::now();
         loop {
             let upstream = source.as_ref().map(|(_, permit)| &permit.upstream);
-            let part = next_part(&guard.call, upstream, silent_since, progress, &mut body).await;
+            let part = next_part(&guard.call, upstream, silent_since, &mut body).await;
             let reason: Box<str> = match part {
                 Part::Data(bytes) => match splitter.push(&bytes) {
                     Ok(events) if events.is_empty() => continue,
@@ -104,12 +103,6 @@
                     yield Err(reply::Error::from("deadline exceeded"));
                     return;
                 }
-                Part::Convicted => {
-                    guard.ended = true;
-                    record_cut(&guard.call, "request crashes upstreams");
-                    yield Err(reply::Error::from("request crashes upstreams"));
-                    return;
-                }
             };
             splitter.discard_partial();
             match resume(&mut guard.call, source.take(), &reason, progress).await {
@@ -144,7 +137,6 @@
     call: &Call,
     upstream: Option<&Upstream>,
     silent_since: time::Instant,
-    progress: Progress,
     body: &mut Incoming,
 ) -> Part {
     let deadline = call.entry.instant_at(call.request.deadline);
@@ -158,18 +150,11 @@
             None => std::future::pending().await,
         }
     };
-    let convicted = async {
-        match progress.is_answered(call.entry.now()) {
-            true => std::future::pending().await,
-            false => call.entry.refusal_of(&call.request).await,
-        }
-    };
-    tokio::pin!(movable, convicted);
+    tokio::pin!(movable);
     loop {
         let frame = tokio::select! {
             frame = time::timeout_at(deadline.min(silent), body.frame()) => frame,
             () = &mut movable => return Part::Silent,
-            _ = &mut convicted => return Part::Convicted,
         };
         let frame = match frame {
             Err(_) if deadline <= silent => return Part::DeadlineExceeded,
--- a/crates/agateflowd/src/entry/driver.rs
+++ b/crates/agateflowd/src/entry/driver.rs
@@ -238,7 +238,7 @@
                     sent_at: attempt.sent_at,
                 };
                 for conviction in suspects.record_attempt(&crashed, now) {
-                    event!(self.shared.logger, Event::PartConvicted; "part" => %conviction.part,
+                    event!(self.shared.logger, Event::PartConvicted; "parts" => %conviction,
                         "crashes" => conviction.crashes,
                         "duration" => %conviction.until.saturating_sub(now));
                     meter::convicted();
