Share crashes out among their suspects, and tell tied parts apart after three crashes

Change: of parts with equally many crashes, the one goes first to which more falls if each crash is shared out among the parts that were never answered; parts that three crashes do not tell apart are convicted one by one.

--- a/crates/agateflow/src/direct/culprit/verdict.rs
+++ b/crates/agateflow/src/direct/culprit/verdict.rs
@@ -16,6 +16,10 @@
 /// The same for a part that was never answered.
 const MIN_CRASHES: usize = 2;
 
+/// Crashes from which parts that they do not tell apart are convicted one by one: refusing only
+/// requests with all of them did not end the crashes.
+const MIN_CRASHES_IF_TIED: usize = 3;
+
 /// Crashes closer together than this may have one cause.
 const MOMENT: unit::Millis = unit::Millis::new(250);
 
@@ -54,6 +58,8 @@
     crash: Incarnation,
     expires: unit::Millis,
     role: Role,
+    /// Number of parts that may have caused the crash.
+    suspects: usize,
 }
 
 /// Case against one part.
@@ -89,6 +95,12 @@
         count
     }
 
+    /// How much of the crashes falls to this part if each is shared out among its suspects.
+    fn weight(&self, explained: &IndexSet<Incarnation>) -> f64 {
+        let open = self.observations.iter().filter(|seen| !explained.contains(&seen.crash));
+        open.map(|seen| 1.0 / seen.suspects as f64).sum()
+    }
+
     fn is_in_same_crashes(&self, other: &Self) -> bool {
         let crashes = |case: &Self| -> IndexSet<Incarnation> {
             case.observations.iter().map(|seen| seen.crash).collect()
@@ -98,10 +110,13 @@
 
     /// Convicts the part, with those in `cases` that the crashes do not tell apart from it.
     fn convict(&self, cases: &[Case]) -> Conviction {
-        let tied = cases
-            .iter()
-            .filter(|case| case.min_crashes == self.min_crashes && case.is_in_same_crashes(self));
         let crashes = self.count(&IndexSet::new());
+        let is_tied = |case: &&Case| {
+            crashes < MIN_CRASHES_IF_TIED
+                && case.min_crashes == self.min_crashes
+                && case.is_in_same_crashes(self)
+        };
+        let tied = cases.iter().filter(|case| case.part == self.part || is_tied(case));
         let last = self.observations.iter().map(|seen| seen.expires).max().unwrap_or_default();
         let repeats = (crashes - 1).min(usize::BITS as usize / 2);
         let duration = unit::Millis::new(MIN_DURATION.get() << repeats).min(MAX_DURATION);
@@ -142,9 +157,10 @@
 fn build_cases(crashes: &Crashes, answered: &IndexSet<Part>) -> Vec<Case> {
     let mut observations: IndexMap<Part, Vec<Observation>> = IndexMap::new();
     for (&crash, Crash { expires, parts }) in crashes {
-        let accused = parts.iter().filter(|(_, role)| role.evidence < Evidence::AnsweredSince);
-        for (&part, &role) in accused {
-            let seen = Observation { crash, expires: *expires, role };
+        let is_accused = |role: &Role| role.evidence < Evidence::AnsweredSince;
+        let suspects = parts.keys().filter(|part| !answered.contains(*part)).count().max(1);
+        for (&part, &role) in parts.iter().filter(|(_, role)| is_accused(role)) {
+            let seen = Observation { crash, expires: *expires, role, suspects };
             observations.entry(part).or_default().push(seen);
         }
     }
@@ -175,7 +191,10 @@
 fn strongest<'a>(cases: &'a [Case], explained: &IndexSet<Incarnation>) -> Option<&'a Case> {
     let counted = cases.iter().map(|case| (case.count(explained), case));
     let proven = counted.filter(|(count, case)| *count >= case.min_crashes);
-    let strength =
-        |&(count, case): &(usize, &Case)| (count, std::cmp::Reverse((case.min_crashes, case.part)));
-    proven.max_by_key(strength).map(|(_, case)| case)
+    let by_strength = |a: &(usize, &Case), b: &(usize, &Case)| {
+        let by_count = a.0.cmp(&b.0).then(b.1.min_crashes.cmp(&a.1.min_crashes));
+        let by_weight = a.1.weight(explained).total_cmp(&b.1.weight(explained));
+        by_count.then(by_weight).then(b.1.part.cmp(&a.1.part))
+    };
+    proven.max_by(by_strength).map(|(_, case)| case)
 }
--- a/crates/agateflow/tests/culprit.rs
+++ b/crates/agateflow/tests/culprit.rs
@@ -100,6 +100,23 @@
     assert!(!is_refused(&register, "deadly", 31_100));
 }
 
+#[test]
+fn popular_part_that_was_at_one_crash_of_each_of_two_deadly_parts_is_not_convicted() {
+    let mut register = Register::new();
+
+    play(
+        &mut register,
+        "1000 crash 1 rare first
+        1030 crash 2 other second popular
+        5000 crash 3 popular first
+        5010 crash 4 second new odd",
+    );
+
+    assert!(is_refused(&register, "first", 5_100));
+    assert!(is_refused(&register, "second", 5_100));
+    assert!(!is_refused(&register, "popular rare other new odd", 5_100));
+}
+
 #[test]
 fn two_deadly_parts_that_meet_in_one_crash_are_both_convicted() {
     let mut register = Register::new();
@@ -150,6 +167,20 @@
     assert!(!is_refused(&register, "common", 6_100));
 }
 
+#[test]
+fn parts_that_three_crashes_do_not_tell_apart_are_refused_one_by_one() {
+    let mut register = Register::new();
+    let script =
+        "1000 crash 1 deadly common\n 5000 crash 2 common deadly\n 9000 crash 3 common deadly";
+
+    play(&mut register, script);
+
+    assert!(is_refused(&register, "common", 9_100) != is_refused(&register, "deadly", 9_100));
+    play(&mut register, "13000 crash 4 deadly");
+    assert!(is_refused(&register, "deadly", 13_100));
+    assert!(!is_refused(&register, "common", 13_100));
+}
+
 #[test]
 fn wrong_conviction_ends_when_another_part_explains_more_crashes() {
     let mut register = Register::new();
