--- a/crates/agateflow-standin/src/answer.rs
+++ b/crates/agateflow-standin/src/answer.rs
@@ -1,7 +1,7 @@
-//! The answer of an engine stand-in, a pure function of the request's body.
+//! Response of an engine stand-in, a pure function of the request body.
 //!
-//! Every stand-in gives the same bytes to the same body, so that a caller can check that an answer
-//! is whole and its own.
+//! Every stand-in returns the same bytes for the same body, so a caller can check that a response is
+//! complete and belongs to its request.
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
@@ -10,7 +10,7 @@
 /// Output tokens of a request that states no `max_tokens`.
 pub const DEFAULT_TOKENS: u64 = 16;
 
-/// Most output tokens of a request.
+/// Maximum output tokens of a request.
 pub const MAX_TOKENS: u64 = 32_768;
 
 /// Last event of each stream.
@@ -160,7 +160,7 @@
         self.chunk(Delta { role, content: Some(&content) }, None)
     }
 
-    /// The event after the last token, which gives the reason of the end.
+    /// The event after the last token, with the finish reason.
     pub fn finish(&self) -> Bytes {
         self.chunk(Delta::default(), Some(self.reason()))
     }
--- a/crates/agateflow-standin/src/configuration.rs
+++ b/crates/agateflow-standin/src/configuration.rs
@@ -23,10 +23,10 @@
 
 const RATE_WINDOW: Duration = Duration::from_secs(1);
 
-/// Counts of the calls that reached the service.
+/// Call counters of the service.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Counters {
-    /// All calls, waiting watches among them.
+    /// All calls, including waiting watches.
     pub calls: u64,
     /// Calls that waited for a newer version.
     pub watches: u64,
@@ -85,13 +85,13 @@
         version
     }
 
-    /// Serves each value as it was `versions` versions ago. Zero ends the fault.
+    /// Serves values that are `versions` versions old. Zero ends the fault.
     pub fn serve_stale(&self, versions: u64) {
         fault::lock(&self.shared.store).stale = versions;
         self.shared.changed.send_modify(|changes| *changes += 1);
     }
 
-    /// Limits the calls a second; those beyond are refused with status 429.
+    /// Limits calls per second; excess ones get status 429.
     pub fn limit(&self, calls: Option<u64>) {
         fault::lock(&self.shared.store).limit = calls;
     }
@@ -110,7 +110,7 @@
         Some((version, value.clone()))
     }
 
-    /// Counts one call, and tells whether the rate limit allows it.
+    /// Counts a call and returns whether the rate limit allows it.
     fn admit(&mut self, now: Instant) -> bool {
         self.counters.calls += 1;
         let Some(limit) = self.limit else {
--- a/crates/agateflow-standin/src/engine/app.rs
+++ b/crates/agateflow-standin/src/engine/app.rs
@@ -1,4 +1,4 @@
-//! HTTP interface of an engine, and the loop of its steps.
+//! HTTP interface of an engine, and its step loop.
 
 use std::io;
 use std::sync::Arc;
@@ -131,7 +131,7 @@
     }
 }
 
-/// Cancels a sequence when its caller leaves; no effect on a complete one.
+/// Cancels a sequence when its caller disconnects; no effect on a complete one.
 struct Guard {
     state: Arc<State>,
     id: u64,
@@ -180,7 +180,7 @@
     reply::typed(StatusCode::OK, "text/event-stream", body)
 }
 
-/// Runs steps for as long as the engine's process lives.
+/// Runs steps until the engine's process ends.
 async fn run_steps(state: Arc<State>) {
     let mut deadline = Instant::now();
     loop {
--- a/crates/agateflow-standin/src/engine/batch.rs
+++ b/crates/agateflow-standin/src/engine/batch.rs
@@ -8,14 +8,14 @@
 
 const MICROS_PER_SECOND: u64 = 1_000_000;
 
-/// Most prompt tokens computed in one step.
+/// Maximum number of prompt tokens computed in one step.
 const PREFILL_TOKENS_PER_STEP: u64 = 2048;
 
 /// Speed of an engine class.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Speed {
-    /// Prompt tokens a second; zero stands for no limit.
+    /// Prompt tokens per second; zero means no limit.
     pub prefill: u64,
     /// Time of each step.
     pub step: unit::Micros,
@@ -41,7 +41,7 @@
 pub struct Step {
     /// How long it takes.
     pub time: unit::Micros,
-    /// Sequences that produce one token each, with a mark on those that are then complete.
+    /// Sequences that produce one token each, and whether that completes them.
     pub tokens: Vec<(u64, bool)>,
 }
 
@@ -82,7 +82,7 @@
         self.waiting.values().map(|work| work.prefill + work.output).sum()
     }
 
-    /// Plans and books the next step; `None` without a sequence.
+    /// Plans the next step and deducts its work; `None` without a sequence.
     pub fn step(&mut self, speed: &Speed) -> Option<Step> {
         self.admit();
         if self.running.is_empty() {
--- a/crates/agateflow-standin/src/engine/cache.rs
+++ b/crates/agateflow-standin/src/engine/cache.rs
@@ -1,4 +1,4 @@
-//! Prefix cache: chunks of prompts in limited memory, the least recently used one leaving first.
+//! Prefix cache: chunks of prompts in bounded memory, with LRU eviction.
 
 use indexmap::IndexSet;
 use serde::{Deserialize, Serialize};
@@ -20,11 +20,11 @@
     Evicted,
 }
 
-/// One change of the cache, as it is published.
+/// A published change of the cache.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Event {
-    /// Number of the event, from 1 without gaps in the engine.
+    /// Sequence number of the event, from 1 without gaps.
     pub number: u64,
     /// The change.
     pub change: Change,
--- a/crates/agateflow-standin/src/engine/core.rs
+++ b/crates/agateflow-standin/src/engine/core.rs
@@ -26,17 +26,17 @@
     pub started: u64,
     /// Sequences that produced their last token.
     pub completed: u64,
-    /// Sequences cancelled, by order or because their caller left.
+    /// Sequences cancelled by request or because their caller disconnected.
     pub cancelled: u64,
     /// Output tokens produced.
     pub tokens: u64,
-    /// Tokens computed before a sequence's first new one.
+    /// Tokens prefilled.
     pub prefill_tokens: u64,
-    /// Tokens that needed no computing: in the prefix cache or in an imported KV cache.
+    /// Tokens not prefilled, because the prefix cache or an imported KV cache had them.
     pub cached_tokens: u64,
 }
 
-/// What a sequence's reader receives.
+/// Output of a sequence.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Output {
     /// The next token.
@@ -52,7 +52,7 @@
     pub attempt: Option<Box<str>>,
     /// Higher ones are admitted first.
     pub priority: i64,
-    /// Output tokens that the caller has already.
+    /// Output tokens that the caller already has.
     pub from: u64,
     /// Hash of the request's body.
     pub body: u64,
@@ -123,7 +123,7 @@
         Self { inner: Mutex::new(inner), wake: Notify::new() }
     }
 
-    /// Drops sequences, cache and published history, as the end of a process does.
+    /// Drops sequences, cache and published history, as when a process ends.
     pub fn reset(&self) {
         let mut inner = lock(&self.inner);
         inner.batch = Batch::new(inner.options.batch);
@@ -149,7 +149,7 @@
         (id, receiver)
     }
 
-    /// Cancels a sequence whose reader left.
+    /// Cancels a sequence whose caller disconnected.
     pub fn cancel(&self, id: u64) {
         lock(&self.inner).cancel(id);
     }
@@ -173,7 +173,7 @@
         readers.find(|reader| reader.attempt.as_deref() == Some(attempt)).map(Reader::export)
     }
 
-    /// Imports a KV cache for a request that is to come.
+    /// Imports a KV cache for a future request.
     pub fn import(&self, kv: Kv) {
         lock(&self.inner).imports.add(kv);
     }
@@ -188,7 +188,7 @@
         Some(step)
     }
 
-    /// Hands out the tokens of a step that has taken its time.
+    /// Sends the tokens of a completed step.
     pub fn finish(&self, step: &Step) {
         let mut inner = lock(&self.inner);
         for &(id, last) in &step.tokens {
@@ -197,12 +197,12 @@
         inner.report();
     }
 
-    /// Accepts an order, or returns the newer fence that refuses it.
+    /// Accepts an order, or returns the newer fencing token that rejects it.
     pub fn order(&self, order: Order) -> Result<(), u64> {
         lock(&self.inner).orders.accept(order)
     }
 
-    /// The load report in force, `lag` ago.
+    /// The latest published load report, at least `lag` old.
     pub fn published_load(&self) -> Report {
         let inner = lock(&self.inner);
         inner.reports.visible(Instant::now(), inner.lag).next_back().cloned().unwrap_or_default()
@@ -250,7 +250,7 @@
         lock(&self.inner).lag = lag.duration();
     }
 
-    /// Leaves out every `every`-th cache event from now on.
+    /// Omits every `every`-th cache event from now on.
     pub fn set_gaps(&self, every: u64) {
         lock(&self.inner).gaps = every;
     }
--- a/crates/agateflow-standin/src/engine/kv.rs
+++ b/crates/agateflow-standin/src/engine/kv.rs
@@ -13,17 +13,17 @@
     pub tokens: u64,
 }
 
-/// Imported caches that wait for their request.
+/// Imported caches whose requests have not arrived yet.
 #[derive(Clone, Debug, Default)]
 pub struct Imports {
     tokens: IndexMap<Box<str>, u64>,
 }
 
 impl Imports {
-    /// Most imports that wait.
+    /// Maximum number of imports.
     const MAX: usize = 1024;
 
-    /// Takes in a cache; the oldest import leaves a full list.
+    /// Adds an imported cache. If the list is full, the oldest import is dropped.
     pub fn add(&mut self, kv: Kv) {
         if self.tokens.len() >= Self::MAX {
             self.tokens.shift_remove_index(0);
@@ -31,13 +31,13 @@
         self.tokens.insert(kv.request, kv.tokens);
     }
 
-    /// Hands over the tokens that are covered for the request whose body has this hash.
+    /// Removes the import for the request whose body has this hash and returns its tokens.
     pub fn take(&mut self, body: u64) -> u64 {
         self.tokens.shift_remove(name(body).as_ref()).unwrap_or(0)
     }
 }
 
-/// The name of a request by the hash of its body.
+/// Formats the hash of a request body.
 pub fn name(body: u64) -> Box<str> {
     format!("{body:016x}").into()
 }
--- a/crates/agateflow-standin/src/engine/mod.rs
+++ b/crates/agateflow-standin/src/engine/mod.rs
@@ -26,25 +26,25 @@
 use crate::error::Error;
 use crate::host;
 
-/// Header that carries the attempt that a request belongs to.
+/// Header with the attempt ID of a request.
 pub const ATTEMPT_HEADER: HeaderName = HeaderName::from_static("agateflow-attempt");
 
-/// Header that asks to continue a stream after a number of output tokens.
+/// Header with the number of output tokens after which to resume a stream.
 pub const RESUME_HEADER: HeaderName = HeaderName::from_static("agateflow-resume-tokens");
 
-/// Header that carries the priority of a request, a whole number; higher ones go first.
+/// Header with the priority of a request, an integer; higher ones go first.
 pub const PRIORITY_HEADER: HeaderName = HeaderName::from_static("agateflow-priority");
 
-/// How an engine works. The default takes no time for anything.
+/// Options of an engine. By default, no operation takes time.
 #[derive(Clone, Debug)]
 pub struct Options {
     /// Speed of its class.
     pub speed: Speed,
-    /// Most sequences in one step.
+    /// Maximum number of sequences in one step.
     pub batch: usize,
-    /// Most prompt chunks in the prefix cache.
+    /// Maximum number of prompt chunks in the prefix cache.
     pub cache: usize,
-    /// Whether it refuses orders with an old fence.
+    /// Whether it rejects orders with an outdated fencing token.
     pub fencing: Fencing,
 }
 
@@ -103,23 +103,23 @@
         self.state.orders()
     }
 
-    /// Changes the speed, as a straggler's does.
+    /// Changes the speed, to simulate a straggler.
     pub fn set_speed(&self, speed: Speed) {
         self.state.set_speed(speed);
     }
 
-    /// Sets how late load reports and cache events are published.
+    /// Sets the publication delay of load reports and cache events.
     pub fn set_lag(&self, lag: unit::Millis) {
         self.state.set_lag(lag);
     }
 
-    /// Leaves out every `every`-th cache event; zero leaves out none.
+    /// Omits every `every`-th cache event; zero omits none.
     pub fn set_gaps(&self, every: u64) {
         self.state.set_gaps(every);
     }
 }
 
-/// The text of a header, if it is there and is text.
+/// The value of a header, if it is present and valid text.
 pub(crate) fn text_header<T>(request: &Request<T>, name: HeaderName) -> Option<&str> {
     request.headers().get(name)?.to_str().ok()
 }
--- a/crates/agateflow-standin/src/engine/orders.rs
+++ b/crates/agateflow-standin/src/engine/orders.rs
@@ -1,22 +1,22 @@
-//! Orders to an engine, with or without a check of their fence.
+//! Orders to an engine, with or without a check of their fencing tokens.
 
 use serde::{Deserialize, Serialize};
 
-/// Whether an engine checks the fence of an order.
+/// Whether an engine checks fencing tokens.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Fencing {
-    /// An order with an older fence than the last one's is refused.
+    /// An order with a lower token than the last one is rejected.
     Checked,
-    /// Fences are ignored.
+    /// Fencing tokens are ignored.
     Ignored,
 }
 
-/// An order: to load a model, to change the role, or the like.
+/// An order, such as to load a model or to change the role.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Order {
-    /// Its fence. Within an engine it only grows.
+    /// Its fencing token, which only grows within an engine.
     pub fence: u64,
     /// What to do.
     pub order: serde_json::Value,
@@ -35,7 +35,7 @@
         Self { fencing, accepted: Vec::new() }
     }
 
-    /// Accepts an order, or returns the newer fence that refuses it.
+    /// Accepts an order, or returns the newer fencing token that rejects it.
     pub fn accept(&mut self, order: Order) -> Result<(), u64> {
         let highest = self.accepted.iter().map(|order| order.fence).max().unwrap_or(0);
         if self.fencing == Fencing::Checked && order.fence < highest {
--- a/crates/agateflow-standin/src/error.rs
+++ b/crates/agateflow-standin/src/error.rs
@@ -9,7 +9,7 @@
     /// A step of the start failed on `address`.
     #[error("{step} at {address}: {source}")]
     Start {
-        /// What was being done.
+        /// The step that failed.
         step: &'static str,
         /// The address of the stand-in.
         address: SocketAddr,
--- a/crates/agateflow-standin/src/fault.rs
+++ b/crates/agateflow-standin/src/fault.rs
@@ -5,7 +5,7 @@
 use agateflow::unit;
 use tokio::sync::Notify;
 
-/// Faults that each request meets.
+/// Faults that apply to each request.
 #[derive(Clone, Debug, Default)]
 struct Plan {
     delay: unit::Millis,
@@ -14,21 +14,21 @@
     cut: Option<Cut>,
 }
 
-/// Where answers are cut, and how many of them still are.
+/// Position at which responses are cut, and how many more of them.
 #[derive(Clone, Copy, Debug)]
 struct Cut {
     after: u64,
     times: u64,
 }
 
-/// What the process of a stand-in does at the moment.
+/// State of the process of a stand-in.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Mode {
     /// It serves.
     Running,
-    /// It is stopped in its tracks, with its connections open.
+    /// It is paused, with its connections open.
     Paused,
-    /// It is gone; connections to it are refused.
+    /// It has ended; connections to it are refused.
     Crashed,
 }
 
@@ -38,7 +38,7 @@
     held: bool,
 }
 
-/// What a request meets before it is handled.
+/// Fault that applies to a request before it is handled.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Verdict {
     Serve { cut_after: Option<u64> },
@@ -46,7 +46,7 @@
     Crash,
 }
 
-/// The switches of one stand-in. All may be set from any thread, at any time.
+/// Fault switches of a stand-in, which any thread may set at any time.
 #[derive(Debug)]
 pub struct Control {
     plan: Mutex<Plan>,
@@ -62,7 +62,7 @@
 }
 
 impl Control {
-    /// Creates the switches, without a fault.
+    /// Creates the switches without a fault.
     pub fn new() -> Self {
         Self {
             plan: Mutex::default(),
@@ -97,7 +97,7 @@
         *lock(&self.plan) = Plan::default();
     }
 
-    /// What the stand-in's process does at the moment.
+    /// State of the stand-in's process.
     pub fn mode(&self) -> Mode {
         lock(&self.state).mode
     }
@@ -117,7 +117,7 @@
         Verdict::Serve { cut_after: plan.cut.as_mut().and_then(Cut::take) }
     }
 
-    /// Changes the mode. A pause returns once the process stands still.
+    /// Changes the mode. Returns from a pause once the process has stopped.
     pub(crate) fn switch(&self, mode: Mode) {
         let mut state = lock(&self.state);
         if state.mode == Mode::Crashed && mode == Mode::Paused {
--- a/crates/agateflow-standin/src/history.rs
+++ b/crates/agateflow-standin/src/history.rs
@@ -3,10 +3,10 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
-/// Most entries kept for a late reader.
+/// Maximum number of entries.
 const CAPACITY: usize = 16_384;
 
-/// A bounded history of entries, each with the time at which it arose.
+/// A bounded history of entries with their creation times.
 #[derive(Clone, Debug)]
 pub struct History<T> {
     entries: VecDeque<(Instant, T)>,
@@ -19,7 +19,7 @@
 }
 
 impl<T> History<T> {
-    /// Adds an entry; the oldest one leaves a full history.
+    /// Adds an entry. If the history is full, the oldest one is dropped.
     pub fn push(&mut self, now: Instant, entry: T) {
         if self.entries.len() >= CAPACITY {
             self.entries.pop_front();
--- a/crates/agateflow-standin/src/host.rs
+++ b/crates/agateflow-standin/src/host.rs
@@ -23,15 +23,15 @@
 use crate::fault;
 use crate::reply;
 
-/// Connections that wait to be accepted.
+/// Length of the listen backlog.
 const BACKLOG: u32 = 1024;
 
-/// What a stand-in does with a request.
+/// Request handler of a stand-in.
 pub trait App: Send + Sync + 'static {
     /// Answers one request.
     fn call(&self, request: Request<Bytes>) -> impl Future<Output = Response> + Send;
 
-    /// Whether the request meets the faults of single requests (delay, refusal, marker, cut).
+    /// Whether faults of single requests (delay, refusal, marker, cut) apply to the request.
     fn is_work(&self, _request: &Request<Bytes>) -> bool {
         true
     }
@@ -85,7 +85,7 @@
         &self.faults
     }
 
-    /// Stops the process in its tracks, as a suspended VM does: connections stay open.
+    /// Pauses the process like a suspended VM: connections stay open.
     pub fn pause(&self) {
         self.faults.switch(fault::Mode::Paused);
     }
@@ -174,7 +174,7 @@
     })
 }
 
-/// Lets each request meet the faults before the application answers it.
+/// Applies the faults to each request before the application handles it.
 struct Gate<A> {
     app: A,
     faults: Arc<fault::Control>,
--- a/crates/agateflow-standin/src/lib.rs
+++ b/crates/agateflow-standin/src/lib.rs
@@ -1,4 +1,4 @@
-//! Stand-ins for what the platform gives: engines, plain services, the configuration service, the
+//! Stand-ins for the services of the platform: engines, plain services, the configuration service, the
 //! list of VMs and the weight store, each with faults that a scenario sets.
 //!
 //! Each stand-in serves HTTP on an address of its own, from a thread of its own, so that a test can
--- a/crates/agateflow-standin/src/main.rs
+++ b/crates/agateflow-standin/src/main.rs
@@ -1,4 +1,4 @@
-//! Runs one stand-in as a process, to try a daemon by hand.
+//! Runs a stand-in as a process, for manual tests of a daemon.
 
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
--- a/crates/agateflow-standin/src/ranks/app.rs
+++ b/crates/agateflow-standin/src/ranks/app.rs
@@ -1,4 +1,4 @@
-//! HTTP interface of one rank, and its loops of steps and of loading.
+//! HTTP interface of a rank, and its step and load loops.
 
 use std::sync::Arc;
 
@@ -65,7 +65,7 @@
     }
 }
 
-/// Loads missing experts, one after another.
+/// Loads missing experts one at a time.
 async fn load(fabric: Arc<Fabric>, rank: usize) {
     let mut changes = fabric.changes();
     loop {
@@ -79,7 +79,7 @@
     }
 }
 
-/// Runs step after step.
+/// Runs the steps.
 async fn run(fabric: Arc<Fabric>, rank: usize) {
     let mut changes = fabric.changes();
     loop {
--- a/crates/agateflow-standin/src/ranks/fabric.rs
+++ b/crates/agateflow-standin/src/ranks/fabric.rs
@@ -1,4 +1,4 @@
-//! What the ranks of a group share: the barrier of each step, loads and counts.
+//! State shared by the ranks of a group: the barrier of each step, loads and counters.
 
 use std::sync::{Mutex, MutexGuard};
 
@@ -23,7 +23,7 @@
     /// Steps in which two ranks, one of which counted on the other, used different maps or knew
     /// different members.
     pub mixed: u64,
-    /// Turns of a rank on a map of which an expert was not loaded.
+    /// Steps of a rank on a map with an expert that was not loaded.
     pub unloaded: u64,
     /// Experts loaded.
     pub loads: u64,
@@ -70,12 +70,12 @@
         self.changed.subscribe()
     }
 
-    /// Forgets the state of a rank whose process begins.
+    /// Clears the state of a rank whose process starts.
     pub fn reset(&self, rank: usize) {
         self.change(|inner| inner.ranks[rank].reset());
     }
 
-    /// Gives an order to a rank, or returns the newer fence that refuses it.
+    /// Sends an order to a rank, or returns the newer fencing token that rejects it.
     pub fn accept(&self, rank: usize, order: Order, command: Command) -> Result<(), u64> {
         self.change(|inner| inner.ranks[rank].accept(order, command))
     }
@@ -86,7 +86,7 @@
         inner.ranks[rank].missing().map(|expert| (expert, inner.loading))
     }
 
-    /// Notes that a rank has loaded an expert.
+    /// Records that a rank has loaded an expert.
     pub fn load(&self, rank: usize, expert: (usize, usize)) {
         self.change(|inner| {
             inner.counters.loads += 1;
@@ -103,7 +103,7 @@
         Some(Ran { busy, ..turn.ran })
     }
 
-    /// Notes that a rank has done its work of a step and waits for the others.
+    /// Records that a rank has finished its part of a step and waits for the others.
     pub fn arrive(&self, rank: usize, step: u64) {
         self.change(|inner| {
             let name = inner.ranks[rank].name.clone();
--- a/crates/agateflow-standin/src/ranks/mod.rs
+++ b/crates/agateflow-standin/src/ranks/mod.rs
@@ -1,8 +1,7 @@
 //! Stand-in of a group of ranks that run in lock-step on an expert map.
 //!
 //! Each rank serves HTTP at an address of its own and obeys orders to prepare a map and to use it
-//! from a step on. The ranks do what they are told, also when that breaks the lock-step; what was
-//! broken is counted.
+//! from a step on. The ranks obey orders that break the lock-step, and count the violations.
 
 mod app;
 mod fabric;
@@ -21,12 +20,12 @@
 use crate::error::Error;
 use crate::host;
 
-/// How the ranks of a group work.
+/// Options of a group.
 #[derive(Clone, Debug)]
 pub struct Options {
-    /// Whether ranks refuse orders with an old fence.
+    /// Whether ranks reject orders with an outdated fencing token.
     pub fencing: Fencing,
-    /// Load of each expert of each layer, in load units a step.
+    /// Load of each expert of each layer, in load units per step.
     pub load: Vec<Vec<f64>>,
     /// Time to load one expert of one layer.
     pub loading: unit::Micros,
@@ -60,7 +59,7 @@
         &self.hosts[rank]
     }
 
-    /// Changes the speed of a rank, as a straggler's does, in load units a second.
+    /// Changes the speed of a rank, in load units per second, to simulate a straggler.
     pub fn set_speed(&self, rank: usize, speed: f64) {
         self.fabric.set_speed(rank, speed);
     }
--- a/crates/agateflow-standin/src/ranks/rank.rs
+++ b/crates/agateflow-standin/src/ranks/rank.rs
@@ -10,10 +10,10 @@
 use crate::engine::orders::Orders;
 use crate::engine::{Fencing, Order};
 
-/// Most steps kept for a late reader.
+/// Maximum number of steps kept.
 const HISTORY: usize = 4096;
 
-/// What an order tells a rank.
+/// An order to a rank.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub enum Command {
@@ -33,7 +33,7 @@
         /// Names of the ranks that take part.
         members: Vec<Box<str>>,
     },
-    /// Takes part in no further step.
+    /// Leaves the group.
     Leave,
 }
 
@@ -51,7 +51,7 @@
     pub members: Vec<Box<str>>,
 }
 
-/// State of a rank as it publishes it.
+/// Published state of a rank.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Status {
@@ -112,13 +112,13 @@
         }
     }
 
-    /// Forgets everything but its orders, as the end of its process does.
+    /// Clears everything but its orders, as when its process ends.
     pub fn reset(&mut self) {
         let orders = self.orders.clone();
         *self = Self { orders, ..Self::new(&self.name, self.speed, Fencing::Checked) };
     }
 
-    /// Takes an order, or returns the newer fence that refuses it.
+    /// Accepts an order, or returns the newer fencing token that rejects it.
     pub fn accept(&mut self, order: Order, command: Command) -> Result<(), u64> {
         self.orders.accept(order)?;
         match command {
@@ -142,7 +142,7 @@
         experts.into_iter().find(|expert| !self.loaded.contains(expert))
     }
 
-    /// Notes that an expert is loaded.
+    /// Records that an expert is loaded.
     pub fn load(&mut self, expert: Expert) {
         self.loaded.insert(expert);
     }
@@ -165,7 +165,7 @@
         Some(Turn { map, ran })
     }
 
-    /// Notes that a step is complete.
+    /// Records that a step is complete.
     pub fn complete(&mut self, ran: Ran) {
         self.step = ran.step + 1;
         if self.ran.len() >= HISTORY {
@@ -174,7 +174,7 @@
         self.ran.push_back(ran);
     }
 
-    /// The state as it is published.
+    /// The published state.
     pub fn status(&self) -> Status {
         let prepared = self.maps.keys().copied().filter(|&version| self.has_loaded(version));
         Status {
--- a/crates/agateflow-standin/src/service.rs
+++ b/crates/agateflow-standin/src/service.rs
@@ -36,7 +36,7 @@
     }
 }
 
-/// Computes the whole answer to a request.
+/// Computes the complete response to a request.
 pub fn answer(method: &Method, path: &str, body: &[u8]) -> Bytes {
     let hash = xxh3::xxh3_64(body);
     let mut answer = format!("{method} {path}\n{} {hash:016x}\n", body.len()).into_bytes();
--- a/crates/agateflow-standin/src/vms.rs
+++ b/crates/agateflow-standin/src/vms.rs
@@ -1,4 +1,4 @@
-//! Stand-in of the platform's list of VMs, which lags behind reality.
+//! Stand-in of the platform's list of VMs, which is published with a delay.
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -20,13 +20,13 @@
 /// Path of the list, a JSON array of [`Vm`].
 pub const PATH: &str = "/v1/vms";
 
-/// Whether a VM stays.
+/// Whether a VM will be removed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum State {
     /// It is in service.
     Live,
-    /// It will be taken away.
+    /// It will be removed.
     Leaving,
 }
 
@@ -38,7 +38,7 @@
     pub name: id::Vm,
     /// Where its process of the system listens.
     pub address: SocketAddr,
-    /// Whether it stays.
+    /// Whether it will be removed.
     pub state: State,
 }
 
@@ -95,7 +95,7 @@
         inner.publish();
     }
 
-    /// Sets how late changes are published.
+    /// Sets the publication delay of changes.
     pub fn set_lag(&self, lag: unit::Millis) {
         fault::lock(&self.inner).lag = lag.duration();
     }
--- a/crates/agateflow-standin/src/weights.rs
+++ b/crates/agateflow-standin/src/weights.rs
@@ -25,11 +25,11 @@
     pub reads: u64,
     /// Bytes read.
     pub bytes: u64,
-    /// Reads refused by the rate limit.
+    /// Reads rejected by the rate limit.
     pub limited: u64,
 }
 
-/// Token bucket that holds one second's worth and may fall into debt by one read.
+/// Token bucket with a capacity of one second; one read may overdraw it.
 #[derive(Clone, Copy, Debug)]
 struct Bucket {
     rate: f64,
@@ -92,7 +92,7 @@
         fault::lock(&self.inner).parts.insert(name.into(), content.into());
     }
 
-    /// Limits the bytes read a second, over all readers. Zero refuses every read after the first.
+    /// Limits the bytes per second of all readers. Zero rejects every read after the first.
     pub fn limit(&self, rate: unit::Bytes) {
         fault::lock(&self.inner).bucket = Some(Bucket::new(rate, Instant::now()));
     }
