--- a/crates/agateflow/tests/culprit_play.rs
+++ b/crates/agateflow/tests/culprit_play.rs
@@ -110,7 +110,7 @@
             self.admit_arrivals(now);
             self.answer(now);
             self.strike(now);
-            if now % 20 == 0 {
+            if now.is_multiple_of(20) {
                 self.gossip(now);
             }
         }
@@ -231,7 +231,7 @@
     fn gossip(&mut self, now: u64) {
         for from in 0..ENTRIES {
             let sender = &mut self.entries[from];
-            if now % 100 != 0 && !sender.register.has_news() {
+            if !now.is_multiple_of(100) && !sender.register.has_news() {
                 continue;
             }
             let at = sender.now(now);
