Date a crash by the end of the connection, not by the check that follows it

The check takes a few ms, on a busy entry more; by that much a request seemed sent later than it was, and a crash of the same moment could count as a separate one.

--- a/crates/agateflowd/src/direct/crash.rs
+++ b/crates/agateflowd/src/direct/crash.rs
@@ -50,7 +50,7 @@
     /// Checks whether `upstream`, which broke off before it answered `request`, has crashed, and
     /// records the parts of the request's prompt if so.
     pub async fn check_crash(&self, request: &Request, sent_at: unit::Millis, upstream: &Upstream) {
-        let run_time = self.now().saturating_sub(sent_at);
+        let now = self.now();
         if request.parts.is_empty() {
             return;
         }
@@ -62,8 +62,8 @@
         event!(self.logger, Event::CrashRecorded; "id" => &*request.info.id,
             "upstream" => %upstream.vm, "parts" => request.info.prompt_parts.join(" "),
             "hashes" => request.part_hashes());
-        let now = self.now();
         let crash = incarnation(upstream);
+        let run_time = now.saturating_sub(sent_at);
         let convictions =
             self.culprits.borrow_mut().record_crash(crash, &request.parts, run_time, now);
         self.heartbeat_trigger.notify_one();
