Date an answer by its beginning, and tell a known role of a part only once

A stream that had begun before a crash counted as an answer after it once it ended or was cut with its group, 1.5 s later: the first crash of a part that had been fine before was cleared by its old streams. Only an answer of a single part is recorded at its end now. A role in a crash that says nothing new is not sent again.

--- a/crates/agateflow/src/direct/culprit/register.rs
+++ b/crates/agateflow/src/direct/culprit/register.rs
@@ -56,8 +56,9 @@
         let expires = now + LIFETIME;
         for (evidence, part) in sorted {
             let after = self.last_crash(part, expires.saturating_sub(run_time));
-            self.insert(crash, part, Role { evidence, run_time, after }, expires, now);
-            self.news.insert((crash, part), SENDS);
+            if self.insert(crash, part, Role { evidence, run_time, after }, expires, now) {
+                self.news.insert((crash, part), SENDS);
+            }
         }
         self.judge(now)
     }
--- a/crates/agateflow/src/direct/progress.rs
+++ b/crates/agateflow/src/direct/progress.rs
@@ -30,6 +30,11 @@
         self.parts == 0
     }
 
+    /// Whether the answer has a single part, by which the upstream was not seen to survive.
+    pub const fn is_single_part(&self) -> bool {
+        self.parts == 1
+    }
+
     /// Whether the upstream survived the beginning of the answer.
     pub fn is_answered(&self, now: unit::Millis) -> bool {
         self.parts >= 2 || self.first_part.is_some_and(|at| now >= at + SURVIVAL)
--- a/crates/agateflowd/src/direct/stream.rs
+++ b/crates/agateflowd/src/direct/stream.rs
@@ -92,7 +92,7 @@
                 Part::End if splitter.has_partial() => "event incomplete".into(),
                 Part::End if ends_with_connection && progress.is_empty() => "no event".into(),
                 Part::End => {
-                    finish(&mut guard, source.take());
+                    finish(&mut guard, source.take(), progress);
                     return;
                 }
                 Part::Broken(reason) => reason,
@@ -183,11 +183,13 @@
     }
 }
 
-fn finish(guard: &mut Guard, source: Option<(pool::Connection, Permit)>) {
+fn finish(guard: &mut Guard, source: Option<(pool::Connection, Permit)>, progress: Progress) {
     guard.ended = true;
     let call = &guard.call;
     call.entry.suspects.borrow_mut().clear(call.request.fingerprint);
-    call.entry.record_answer(&call.request);
+    if progress.is_single_part() {
+        call.entry.record_answer(&call.request);
+    }
     if let Some((connection, permit)) = source {
         let now = call.entry.now();
         call.entry.load.borrow_mut().observe(&permit.upstream.vm, Health::Good, now);
@@ -217,11 +219,10 @@
         drop(connection);
         call.entry.record_break(&call.request, &permit.upstream);
         call.end_attempt(&permit.upstream, attempt::Outcome::Broken, Health::Bad);
-        match answered {
-            true => call.entry.record_answer(&call.request),
-            false => {
-                call.entry.check_crash(&call.request, permit.granted_at, &permit.upstream).await;
-            }
+        if !answered {
+            call.entry.check_crash(&call.request, permit.granted_at, &permit.upstream).await;
+        } else if progress.is_single_part() {
+            call.entry.record_answer(&call.request);
         }
     }
     let deadline = call.entry.instant_at(call.request.deadline);
