Tell an entry that starts of all crashes at once

Entry central-c-1 was killed and started at 18.325 s, heard the others at 18.350 s, sent requests with the convicted part at 18.372 and 18.506 s, and learned of the conviction at 18.586 s, when the rotation of evidence came by; they crashed both groups.

Change: heartbeats carry the incarnation of their process. Whoever hears a new one sends it all evidence with the next heartbeat, and an entry holds requests whose prompts have shared parts until 150 ms after its start.

entry_that_restarted_at_once_is_noticed and entry_that_has_just_started_gets_all_evidence_at_once do not compile against the code before.

--- a/crates/agateflow/src/direct/culprit/register.rs
+++ b/crates/agateflow/src/direct/culprit/register.rs
@@ -175,6 +175,15 @@
         !self.news.is_empty()
     }
 
+    /// Sends all items once more, for an entry that has just started.
+    pub fn repeat_all(&mut self) {
+        for (&crash, known) in &self.crashes {
+            for &part in known.parts.keys() {
+                self.news.entry((crash, part)).or_insert(1);
+            }
+        }
+    }
+
     /// At most `max` items for the next message: new ones, then some of the others in rotation.
     pub fn take_items(&mut self, max: usize, now: unit::Millis) -> Vec<Item> {
         let keys: Vec<(Incarnation, Part)> = self.news.keys().take(max).copied().collect();
--- a/crates/agateflow/src/direct/peer.rs
+++ b/crates/agateflow/src/direct/peer.rs
@@ -67,6 +67,8 @@
     pub vm: id::Vm,
     /// Address at which it receives heartbeats.
     pub address: SocketAddr,
+    /// Identifies its process.
+    pub incarnation: id::Incarnation,
     /// Version of its configuration; zero if it has none.
     pub config: u64,
     /// Registry revision that its directory reflects.
@@ -105,6 +107,7 @@
     added: unit::Millis,
     leaving: bool,
     config: u64,
+    incarnation: Option<id::Incarnation>,
 }
 
 /// Known entries, this one excluded.
@@ -128,7 +131,8 @@
         if address == self.own {
             return;
         }
-        let peer = Peer { last_heard: None, added: now, leaving: false, config: 0 };
+        let peer =
+            Peer { last_heard: None, added: now, leaving: false, config: 0, incarnation: None };
         self.peers.entry(address).or_insert(peer);
     }
 
@@ -139,7 +143,8 @@
         }
     }
 
-    /// Records a heartbeat. Returns whether the sender was unknown or down before.
+    /// Records a heartbeat. Returns whether the sender was unknown or down before, or is a new
+    /// process.
     pub fn record_heartbeat(&mut self, heartbeat: &Heartbeat, now: unit::Millis) -> bool {
         self.add(heartbeat.address, now);
         for &address in &heartbeat.known {
@@ -150,7 +155,8 @@
         peer.last_heard = Some(now);
         peer.leaving = heartbeat.leaving;
         peer.config = heartbeat.config;
-        was_silent
+        let is_new = peer.incarnation.replace(heartbeat.incarnation) != Some(heartbeat.incarnation);
+        was_silent || is_new
     }
 
     /// Removes entries that have long been silent.
--- a/crates/agateflow/tests/culprit.rs
+++ b/crates/agateflow/tests/culprit.rs
@@ -318,6 +318,30 @@
     assert!(!is_refused(&started, "deadly", 45_200), "ends as at the others");
 }
 
+#[test]
+fn entry_that_has_just_started_gets_all_evidence_at_once() {
+    let mut old = Register::new();
+    play(&mut old, "500 answer common");
+    for number in 0..20 {
+        let script = format!(
+            "{0}000 crash {number} deadly{number} common
+            {0}500 answer common",
+            1 + number * 5
+        );
+        play(&mut old, &script);
+    }
+    for now in 0..20 {
+        old.take_items(64, ms(100_000 + now));
+    }
+    let mut started = Register::new();
+
+    old.repeat_all();
+    started.merge(&old.take_items(64, ms(100_100)), ms(20));
+
+    assert!(is_refused(&started, "deadly19", 30));
+    assert_eq!(old.take_items(64, ms(100_120)).len(), 0);
+}
+
 #[test]
 fn evidence_expires_and_does_not_come_back() {
     let mut register = Register::new();
--- a/crates/agateflow/tests/direct.rs
+++ b/crates/agateflow/tests/direct.rs
@@ -345,6 +345,7 @@
     Heartbeat {
         vm: vm("e"),
         address: address.parse().unwrap(),
+        incarnation: id::Incarnation::new(1),
         config,
         directory: rev(1),
         leaving: false,
@@ -357,6 +358,21 @@
     }
 }
 
+#[test]
+fn entry_that_restarted_at_once_is_noticed() {
+    let mut table = peer::Table::new("10.0.0.1:7".parse().unwrap(), []);
+    let restarted =
+        Heartbeat { incarnation: id::Incarnation::new(2), ..heartbeat("10.0.0.2:7", 5) };
+
+    let news = [
+        table.record_heartbeat(&heartbeat("10.0.0.2:7", 5), ms(0)),
+        table.record_heartbeat(&heartbeat("10.0.0.2:7", 5), ms(100)),
+        table.record_heartbeat(&restarted, ms(300)),
+    ];
+
+    assert_eq!(news, [true, false, true]);
+}
+
 #[test]
 fn silent_entries_count_towards_shared_limits() {
     let own: SocketAddr = "10.0.0.1:7".parse().unwrap();
--- a/crates/agateflowd/src/direct/call.rs
+++ b/crates/agateflowd/src/direct/call.rs
@@ -127,6 +127,7 @@
     }
 
     async fn run(mut self) -> Response<Body> {
+        self.entry.learn_crashes(&self.request).await;
         let now = self.entry.now();
         if let Some(retry_delay) = self.entry.refused_for(&self.request) {
             return self.refuse("request crashes upstreams", retry_delay);
--- a/crates/agateflowd/src/direct/crash.rs
+++ b/crates/agateflowd/src/direct/crash.rs
@@ -7,6 +7,7 @@
 use agateflow::direct::{culprit, suspect};
 use agateflow::event::Event;
 use agateflow::unit;
+use tokio::time;
 
 use super::request::Request;
 use super::{Entry, socket};
@@ -15,6 +16,9 @@
 /// Timeout of the connection that shows whether an upstream still listens.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Time after the start in which other entries tell of crashes.
+const LEARN_TIME: unit::Millis = unit::Millis::new(150);
+
 /// `retry-after` for a request that crashed upstreams whenever it was sent.
 const POISON_RETRY_AFTER: unit::Millis = unit::Millis::new(60_000);
 
@@ -97,6 +101,14 @@
         }
     }
 
+    /// Waits until this entry knows the crashes that concern `request`, just after its start.
+    pub async fn learn_crashes(&self, request: &Request) {
+        let now = self.now();
+        if !request.parts.is_empty() && now < LEARN_TIME {
+            time::sleep(LEARN_TIME.saturating_sub(now).duration()).await;
+        }
+    }
+
     /// Whether `request` is refused because it crashes upstreams, and until when.
     pub fn refused_for(&self, request: &Request) -> Option<unit::Millis> {
         let now = self.now();
--- a/crates/agateflowd/src/direct/entry.rs
+++ b/crates/agateflowd/src/direct/entry.rs
@@ -48,6 +48,8 @@
 pub struct Entry {
     /// Startup options.
     pub options: Options,
+    /// Identifies the process to other entries.
+    pub incarnation: id::Incarnation,
     /// Header format of the platform.
     pub dialect: Box<dyn Dialect>,
     /// Idle connections to upstreams.
@@ -92,6 +94,7 @@
     pub fn new(options: Options, dialect: Box<dyn Dialect>, logger: slog::Logger) -> Rc<Self> {
         let peers = peer::Table::new(options.peer_address, options.seeds.iter().copied());
         Rc::new(Self {
+            incarnation: id::Incarnation::new(rand::random()),
             dialect,
             pool: Rc::default(),
             logger,
--- a/crates/agateflowd/src/direct/gossip.rs
+++ b/crates/agateflowd/src/direct/gossip.rs
@@ -64,6 +64,7 @@
     peer::Heartbeat {
         vm: entry.options.vm.clone(),
         address: entry.options.peer_address,
+        incarnation: entry.incarnation,
         config: entry.config_version(),
         directory: directory.revision(),
         leaving: entry.is_shutting_down(),
@@ -106,6 +107,8 @@
     if entry.peers.borrow_mut().record_heartbeat(&heartbeat, now) {
         event!(entry.logger, Event::PeerHeard; "peer" => %heartbeat.vm,
             "address" => %heartbeat.address, "version" => heartbeat.config);
+        entry.culprits.borrow_mut().repeat_all();
+        entry.heartbeat_trigger.notify_one();
     }
     for crash in &heartbeat.crashes {
         entry.add_crash(*crash);
