--- a/crates/agateflowd/src/direct/call.rs
+++ b/crates/agateflowd/src/direct/call.rs
@@ -129,7 +129,7 @@
     async fn run(mut self) -> Response<Body> {
         self.entry.learn_crashes(&self.request).await;
         let now = self.entry.now();
-        if let Some(retry_delay) = self.entry.refused_for(&self.request) {
+        if let Some(retry_delay) = self.entry.crash_refusal(&self.request) {
             return self.refuse("request crashes upstreams", retry_delay);
         }
         self.entry
@@ -192,7 +192,7 @@
     /// Decides the next step after an attempt ended.
     pub fn next_step(&mut self, end: attempt::Outcome) -> attempt::Action {
         let now = self.entry.now();
-        let refused = self.entry.refused_for(&self.request).is_some();
+        let refused = self.entry.crash_refusal(&self.request).is_some();
         let has_time = !refused && now + MIN_ATTEMPT_TIME < self.request.deadline;
         let mut preview = self.record;
         let wants_retry = end != attempt::Outcome::Unsent
@@ -216,7 +216,8 @@
         let vm = permit.upstream.vm.clone();
         let Ok(body) = Limited::new(body, MAX_RESPONSE_BYTES).collect().await else {
             event!(self.entry.logger, Event::UpstreamFailed; "id" => &*self.request.info.id,
-                "upstream" => %vm, "reason" => "response incomplete or too long", "answered" => false);
+                "upstream" => %vm, "reason" => "response incomplete or too long",
+                "answered" => false);
             self.end_attempt(&permit.upstream, attempt::Outcome::Broken, Health::Bad);
             self.entry.check_crash(&self.request, permit.granted_at, &permit.upstream).await;
             return Err(attempt::Outcome::Broken);
--- a/crates/agateflowd/src/direct/crash.rs
+++ b/crates/agateflowd/src/direct/crash.rs
@@ -88,6 +88,7 @@
         self.announce(&convictions);
     }
 
+    /// Logs new convictions, and has the waiting requests checked again.
     fn announce(&self, convictions: &[culprit::Conviction]) {
         let now = self.now();
         for conviction in convictions {
@@ -109,8 +110,8 @@
         }
     }
 
-    /// Whether `request` is refused because it crashes upstreams, and until when.
-    pub fn refused_for(&self, request: &Request) -> Option<unit::Millis> {
+    /// `retry-after` of `request` if it is refused because it crashes upstreams.
+    pub fn crash_refusal(&self, request: &Request) -> Option<unit::Millis> {
         let now = self.now();
         if self.suspects.borrow().is_poison(request.fingerprint, now) {
             return Some(POISON_RETRY_AFTER);
@@ -120,11 +121,11 @@
         Some(conviction.until.saturating_sub(now))
     }
 
-    /// Waits until `request` is refused because it crashes upstreams.
-    pub async fn refusal_of(&self, request: &Request) -> unit::Millis {
+    /// Waits until `request` is refused because it crashes upstreams, and returns its `retry-after`.
+    pub async fn until_refused(&self, request: &Request) -> unit::Millis {
         let mut convicted = self.convicted.subscribe();
         loop {
-            if let Some(retry_delay) = self.refused_for(request) {
+            if let Some(retry_delay) = self.crash_refusal(request) {
                 return retry_delay;
             }
             // The sender lives as long as the entry.
--- a/crates/agateflowd/src/direct/exchange.rs
+++ b/crates/agateflowd/src/direct/exchange.rs
@@ -83,7 +83,7 @@
         let permit_request = self.permit_request();
         let permit = tokio::select! {
             biased;
-            retry_delay = self.entry.refusal_of(&self.request) => Err(Refusal::Convicted(retry_delay)),
+            after = self.entry.until_refused(&self.request) => Err(Refusal::Convicted(after)),
             permit = self.entry.acquire_permit(&permit_request) => permit,
         };
         let permit = permit.map_err(Error::Refused)?;
