--- a/crates/agateflow/src/direct/mod.rs
+++ b/crates/agateflow/src/direct/mod.rs
@@ -14,6 +14,7 @@
 pub mod peer;
 pub mod progress;
 pub mod queue;
+pub mod rate;
 pub mod share;
 pub mod stall;
 pub mod suspect;
--- a/crates/agateflowd/src/direct/adapter.rs
+++ b/crates/agateflowd/src/direct/adapter.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use agateflow::direct::rate;
 use agateflow::lockstep::report::{Order, Report};
 use agateflow::{id, unit};
 use http::{HeaderMap, request, response};
@@ -47,6 +48,13 @@
     Foreign,
 }
 
+/// What an upstream says of itself in the head of a response.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Notice {
+    /// Request rate that it accepts from all entries together, if limited.
+    pub rate_limit: Option<rate::Limit>,
+}
+
 /// Header format of a platform.
 pub trait Dialect {
     /// Reads a caller's request.
@@ -57,6 +65,9 @@
 
     /// Classifies the response to a request.
     fn classify_response(&self, head: &response::Parts, info: &Head) -> Verdict;
+
+    /// Reads what the upstream says of itself in a response.
+    fn parse_notice(&self, head: &response::Parts) -> Notice;
 }
 
 /// How often a rank chose each expert, one expert set after another.
--- a/crates/agateflowd/src/direct/entry.rs
+++ b/crates/agateflowd/src/direct/entry.rs
@@ -8,7 +8,7 @@
 use agateflow::direct::directory::{Change, Directory, Revision, Upstream};
 use agateflow::direct::group::{self, Group};
 use agateflow::direct::load::Load;
-use agateflow::direct::{budget, config, culprit, peer, suspect};
+use agateflow::direct::{budget, config, culprit, peer, rate, suspect};
 use agateflow::event::Event;
 use agateflow::{id, unit};
 use indexmap::IndexMap;
@@ -68,6 +68,8 @@
     pub suspects: RefCell<suspect::Register>,
     /// Parts of prompts suspected of crashing upstreams.
     pub culprits: RefCell<culprit::Register>,
+    /// Request rate limits that upstreams named.
+    pub rates: RefCell<rate::Register>,
     /// Queues and retry budgets by service.
     pub services: RefCell<IndexMap<id::Service, Service>>,
     /// Lock-step groups of ranks.
@@ -104,6 +106,7 @@
             agents: RefCell::default(),
             suspects: RefCell::default(),
             culprits: RefCell::default(),
+            rates: RefCell::default(),
             services: RefCell::default(),
             groups: RefCell::default(),
             peer_costs: RefCell::default(),
--- a/crates/agateflowd/src/direct/exchange.rs
+++ b/crates/agateflowd/src/direct/exchange.rs
@@ -236,6 +236,9 @@
         let (head, body) = exchange.response.into_parts();
         let upstream = exchange.permit.upstream.clone();
         let verdict = self.entry.dialect.classify_response(&head, &self.request.info);
+        if matches!(verdict, Verdict::Own | Verdict::NotRun) {
+            self.entry.record_notice(&head, &exchange.permit);
+        }
         let end = match verdict {
             Verdict::Own => {
                 self.entry.record_activity(&upstream);
--- a/crates/agateflowd/src/direct/mod.rs
+++ b/crates/agateflowd/src/direct/mod.rs
@@ -12,6 +12,7 @@
 pub mod exchange;
 pub mod gossip;
 pub mod groups;
+mod notice;
 pub mod peer_sync;
 pub mod permit;
 pub mod pool;
--- a/crates/agateflowd/tests/directenv/mod.rs
+++ b/crates/agateflowd/tests/directenv/mod.rs
@@ -14,7 +14,7 @@
 use agateflow::direct::directory::{Change, Revision, State, Upstream};
 use agateflow::id;
 use agateflow::unit::{Bytes, Millis};
-use agateflowd::direct::adapter::{Dialect, Forward, Head, Verdict};
+use agateflowd::direct::adapter::{Dialect, Forward, Head, Notice, Verdict};
 use agateflowd::direct::entry::Options;
 use agateflowd::direct::{Entry, server, socket};
 use agateflowd::log;
@@ -27,7 +27,7 @@
 use tokio::time;
 
 /// Header format of these tests: `id` identifies a request, `not-run` and `proof` classify a
-/// response.
+/// response, in which `rate-limit` names the limit of the upstream.
 pub struct Headers;
 
 pub fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
@@ -66,6 +66,11 @@
             _ => Verdict::Foreign,
         }
     }
+
+    fn parse_notice(&self, head: &response::Parts) -> Notice {
+        let rate_limit = header_text(&head.headers, "rate-limit");
+        Notice { rate_limit: rate_limit.and_then(|limit| limit.parse().ok()) }
+    }
 }
 
 /// What an upstream does with a request.
@@ -115,6 +120,33 @@
         Self { vm: id::Vm::new(name).unwrap(), address, requests, closed_connections }
     }
 
+    /// Starts an upstream that answers each request with what `respond` makes of its id.
+    pub async fn start_echoing(name: &str, respond: fn(&str) -> String) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let server = Self {
+            vm: id::Vm::new(name).unwrap(),
+            address,
+            requests: Rc::default(),
+            closed_connections: Rc::default(),
+        };
+        let requests = server.requests.clone();
+        task::spawn_local(async move {
+            loop {
+                let (mut stream, _) = listener.accept().await.unwrap();
+                let requests = requests.clone();
+                task::spawn_local(async move {
+                    while let Some(request) = read_message(&mut stream).await {
+                        requests.borrow_mut().push(request.clone());
+                        let response = respond(request_id(&request));
+                        stream.write_all(response.as_bytes()).await.unwrap_or_default();
+                    }
+                });
+            }
+        });
+        server
+    }
+
     pub fn request_count(&self) -> usize {
         self.requests.borrow().len()
     }
@@ -211,8 +243,8 @@
                         if request.contains(marker) {
                             return crashed.notify_one();
                         }
-                        let id = request.lines().find_map(|line| line.strip_prefix("id: ")).unwrap();
-                        stream.write_all(ok_response(id, "ok").as_bytes()).await.unwrap_or_default();
+                        let response = ok_response(request_id(&request), "ok");
+                        stream.write_all(response.as_bytes()).await.unwrap_or_default();
                     }
                 });
             }
@@ -221,6 +253,10 @@
     }
 }
 
+fn request_id(request: &str) -> &str {
+    request.lines().find_map(|line| line.strip_prefix("id: ")).unwrap()
+}
+
 /// Reads a message with `content-length`.
 pub async fn read_message(stream: &mut TcpStream) -> Option<String> {
     let mut bytes = Vec::new();
