Keep to the request rates that upstreams name, all entries together

Cause: what an upstream says of itself in its responses was read by nothing. The log showed that all nine entries had been told and went on as before, and that no single entry came near the limit, so a limit held by each entry alone would not have helped.

Entries now count what they send to an upstream that names a limit, report the counts and what they were told with their heartbeats, and hold the sum against the limit in a token bucket; an upstream without tokens is no candidate.

--- a/crates/agateflow/src/direct/directory.rs
+++ b/crates/agateflow/src/direct/directory.rs
@@ -255,6 +255,12 @@
         (listing.upstream.state == State::Ready).then_some(&listing.upstream)
     }
 
+    /// Whether `incarnation` is listed, draining or not.
+    pub fn lists(&self, incarnation: &Incarnation) -> bool {
+        let listing = self.listings.get(&incarnation.vm);
+        listing.is_some_and(|listing| listing.upstream.started_at == incarnation.started_at)
+    }
+
     /// Upstreams of `service` that accept requests.
     pub fn ready<'a>(&'a self, service: &'a id::Service) -> impl Iterator<Item = &'a Upstream> {
         let upstreams = self.listings.values().map(|listing| &listing.upstream);
--- a/crates/agateflow/src/direct/load.rs
+++ b/crates/agateflow/src/direct/load.rs
@@ -74,7 +74,7 @@
 pub enum Choice {
     /// Send to this upstream.
     Send(id::Vm),
-    /// All upstreams are at their limit.
+    /// All upstreams are at their limits.
     Full,
     /// The upstreams belong to a closed group of ranks.
     Closed,
@@ -91,6 +91,8 @@
     pub limit: f64,
     /// Whether its group accepts requests.
     pub open: bool,
+    /// Whether its rate limit allows another request of this entry now.
+    pub within_rate: bool,
 }
 
 /// Inputs to a choice.
@@ -225,7 +227,7 @@
 
     /// Total free capacity of the open `candidates`, in requests; negative if over the limit.
     pub fn free_capacity<'a>(&self, candidates: impl Iterator<Item = Candidate<'a>>) -> f64 {
-        let open = candidates.filter(|candidate| candidate.open);
+        let open = candidates.filter(|candidate| candidate.open && candidate.within_rate);
         open.map(|open| open.limit - f64::from(self.active(&open.upstream.vm))).sum()
     }
 
@@ -251,8 +253,9 @@
         let is_healthy = |c: &&Candidate<'_>| !self.is_avoided(&c.upstream.vm, now);
         let healthy: Vec<Candidate<'a>> = untried.iter().filter(is_healthy).copied().collect();
         let pool = if healthy.is_empty() { untried } else { healthy };
-        let has_capacity =
-            |c: &Candidate<'_>| f64::from(self.active(&c.upstream.vm)) + 0.5 <= c.limit;
+        let has_capacity = |c: &Candidate<'_>| {
+            c.within_rate && f64::from(self.active(&c.upstream.vm)) + 0.5 <= c.limit
+        };
         let pool: Vec<Candidate<'a>> = pool.into_iter().filter(has_capacity).collect();
         let compared_count = sample_size(pool.len(), context.entries);
         let sampled = pool.choose_multiple(rng, compared_count);
--- a/crates/agateflow/src/direct/peer.rs
+++ b/crates/agateflow/src/direct/peer.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::directory::{Incarnation, Revision, Upstream};
-use super::{config, culprit, group, suspect};
+use super::{config, culprit, group, rate, suspect};
 use crate::lockstep::agent;
 use crate::lockstep::report::{Plan, Status};
 use crate::{id, unit};
@@ -81,6 +81,8 @@
     pub costs: IndexMap<group::Id, f64>,
     /// Upstreams that are draining.
     pub draining: Vec<Incarnation>,
+    /// Request rate limits that upstreams named, and what it sent to them.
+    pub rates: Vec<rate::Report>,
     /// Crashes that it recently saw or heard of.
     pub crashes: Vec<suspect::Crash>,
     /// Evidence on parts of prompts that may crash upstreams.
@@ -184,6 +186,11 @@
         if heard == 0 { INITIAL_ENTRY_COUNT } else { heard + 1 }
     }
 
+    /// Entries that share request rate limits.
+    pub fn rate_members(&self, now: unit::Millis) -> rate::Members {
+        rate::Members { known: self.entry_count(), connected: self.alive(now).len() + 1 }
+    }
+
     /// The entry with the newest configuration, if newer than version `config`.
     pub fn peer_with_newer_config(&self, config: u64, now: unit::Millis) -> Option<SocketAddr> {
         let is_alive = |peer: &Peer| peer.last_heard.is_some_and(|at| now <= at + PEER_TIMEOUT);
--- a/crates/agateflow/src/event.rs
+++ b/crates/agateflow/src/event.rs
@@ -151,7 +151,8 @@
     716 PartConvicted Warning "part of prompts convicted of crashes";
     /// An upstream that broke off still accepts connections, so it did not crash.
     717 UpstreamAlive Info "upstream alive after it broke off";
-    /// An upstream named another request rate limit in a response, or none any more.
+    /// An upstream named another request rate limit in a response, or none any more, as this entry or
+    /// another one heard.
     718 RateLimitNamed Info "upstream named its rate limit";
 }
 
--- a/crates/agateflow/tests/direct.rs
+++ b/crates/agateflow/tests/direct.rs
@@ -352,6 +352,7 @@
         counts: IndexMap::new(),
         costs: IndexMap::new(),
         draining: Vec::new(),
+        rates: Vec::new(),
         crashes: Vec::new(),
         evidence: Vec::new(),
         known: vec!["10.0.0.9:7".parse().unwrap()],
--- a/crates/agateflow/tests/direct_group.rs
+++ b/crates/agateflow/tests/direct_group.rs
@@ -216,6 +216,7 @@
             upstream,
             limit: 9.0,
             open: group::name(upstream) == "b",
+            within_rate: true,
         })
     };
     let mut rng = Pcg64Mcg::seed_from_u64(1);
@@ -237,8 +238,12 @@
     let mut load = Load::new();
     load.report("other", IndexMap::from([(vm("slow"), 3), (vm("fast"), 4)]), ms(0));
     let limit = |upstream: &Upstream| if group::name(upstream) == "a" { 4.0 } else { 12.0 };
-    let candidates =
-        upstreams.iter().map(|upstream| Candidate { upstream, limit: limit(upstream), open: true });
+    let candidates = upstreams.iter().map(|upstream| Candidate {
+        upstream,
+        limit: limit(upstream),
+        open: true,
+        within_rate: true,
+    });
 
     let choice = load.choose(
         candidates,
--- a/crates/agateflow/tests/directfixture/mod.rs
+++ b/crates/agateflow/tests/directfixture/mod.rs
@@ -90,5 +90,10 @@
 }
 
 pub fn candidates(upstreams: &[Upstream], limit: f64) -> impl Iterator<Item = Candidate<'_>> {
-    upstreams.iter().map(move |upstream| Candidate { upstream, limit, open: upstream.open })
+    upstreams.iter().map(move |upstream| Candidate {
+        upstream,
+        limit,
+        open: upstream.open,
+        within_rate: true,
+    })
 }
--- a/crates/agateflowd/src/direct/gossip.rs
+++ b/crates/agateflowd/src/direct/gossip.rs
@@ -71,6 +71,7 @@
         counts: entry.load.borrow().counts(),
         costs: entry.high_cost_factors(),
         draining: directory.draining(),
+        rates: entry.rates.borrow().reports(entry.now()),
         crashes: entry.recent_crashes(),
         evidence: entry.culprits.borrow_mut().take_items(MAX_ITEMS, entry.now()),
         known: known.map(|index| present[index]).collect(),
@@ -115,6 +116,7 @@
     }
     entry.merge_evidence(&heartbeat.evidence);
     entry.directory.borrow_mut().mark_draining(&heartbeat.draining);
+    entry.merge_rates(heartbeat.incarnation, &heartbeat.rates);
     entry.peer_costs.borrow_mut().extend(heartbeat.costs);
     let name = heartbeat.address.to_string();
     entry.load.borrow_mut().report(&name, heartbeat.counts, now);
--- a/crates/agateflowd/src/direct/groups.rs
+++ b/crates/agateflowd/src/direct/groups.rs
@@ -61,6 +61,7 @@
     ) -> Vec<Candidate<'a>> {
         let now = self.now();
         let mut by_group: IndexMap<&str, (Option<f64>, bool)> = IndexMap::new();
+        let mut rates = self.rates.borrow_mut();
         let candidate = |upstream: &'a Upstream| {
             let inspect = |group: &mut Group| {
                 let limit = group.limiter.as_ref().map(Limiter::limit);
@@ -70,7 +71,8 @@
                 .entry(group::name(upstream))
                 .or_insert_with(|| self.with_group(&group::Id::of(upstream), inspect));
             let limit = limit.unwrap_or(f64::from(upstream.slots));
-            Candidate { upstream, limit, open: open && upstream.open }
+            let within_rate = rates.allows(upstream, now);
+            Candidate { upstream, limit, open: open && upstream.open, within_rate }
         };
         directory.ready(service).map(candidate).collect()
     }
--- a/crates/agateflowd/src/direct/notice.rs
+++ b/crates/agateflowd/src/direct/notice.rs
@@ -1,7 +1,9 @@
 //! What upstreams say of themselves in their responses.
 
+use agateflow::direct::directory::Incarnation;
 use agateflow::direct::rate;
 use agateflow::event::Event;
+use agateflow::id;
 use http::response;
 
 use super::Entry;
@@ -13,15 +15,43 @@
     pub fn record_notice(&self, head: &response::Parts, permit: &Permit) {
         let notice = self.dialect.parse_notice(head);
         let upstream = permit.upstream.incarnation();
-        let changed = self.rates.borrow_mut().record_limit(
-            &upstream,
-            notice.rate_limit,
-            permit.granted_at,
-            self.now(),
-        );
+        let limit = notice.rate_limit;
+        let changed =
+            self.rates.borrow_mut().record_limit(&upstream, limit, permit.granted_at, self.now());
         if changed {
-            event!(self.logger, Event::RateLimitNamed; "upstream" => %upstream.vm,
-                "limit" => notice.rate_limit.map(rate::Limit::get));
+            self.log_rate(&rate::Change { upstream: upstream.vm, limit }, "response");
+            self.heartbeat_trigger.notify_one();
         }
     }
+
+    /// Merges what another entry reports of rate limits.
+    pub fn merge_rates(&self, peer: id::Incarnation, reports: &[rate::Report]) {
+        if reports.is_empty() {
+            return;
+        }
+        let now = self.now();
+        let directory = self.directory.borrow();
+        let is_listed = |upstream: &Incarnation| directory.lists(upstream);
+        let members = self.peers.borrow().rate_members(now);
+        let mut rates = self.rates.borrow_mut();
+        rates.set_members(members);
+        for change in rates.merge(peer, reports, is_listed, now) {
+            self.log_rate(&change, "entry");
+        }
+    }
+
+    /// Forgets rate limits of upstreams that are gone, and updates the entries that share limits.
+    pub fn update_rates(&self) {
+        let now = self.now();
+        let directory = self.directory.borrow();
+        let members = self.peers.borrow().rate_members(now);
+        let mut rates = self.rates.borrow_mut();
+        rates.set_members(members);
+        rates.retain(|upstream| directory.lists(upstream), now);
+    }
+
+    fn log_rate(&self, change: &rate::Change, source: &str) {
+        event!(self.logger, Event::RateLimitNamed; "upstream" => %change.upstream,
+            "limit" => change.limit.map(rate::Limit::get), "source" => source);
+    }
 }
--- a/crates/agateflowd/src/direct/peer_sync.rs
+++ b/crates/agateflowd/src/direct/peer_sync.rs
@@ -77,6 +77,7 @@
         for vm in entry.directory.borrow_mut().remove_pending(now) {
             event!(entry.logger, Event::UpstreamRemoved; "upstream" => %vm, "revision" => 0);
         }
+        entry.update_rates();
         let directory = entry.directory.borrow();
         let listed = |address| directory.iter().any(|upstream| upstream.address == address);
         entry.pool.close_unusable(listed);
