--- a/crates/agateflow-standin/src/fault.rs
+++ b/crates/agateflow-standin/src/fault.rs
@@ -3,6 +3,7 @@
 use std::sync::{Condvar, Mutex, MutexGuard, PoisonError};
 
 use agateflow::unit;
+use http::{HeaderName, HeaderValue};
 use tokio::sync::Notify;
 
 /// Faults that apply to each request.
@@ -12,6 +13,7 @@
     refuse: bool,
     marker: Option<Box<[u8]>>,
     cut: Option<Cut>,
+    notices: Vec<(HeaderName, HeaderValue)>,
 }
 
 /// Position at which responses are cut, and how many more of them.
@@ -92,7 +94,17 @@
         lock(&self.plan).cut = Some(Cut { after: events, times });
     }
 
-    /// Clears delay, refusal, marker and cut.
+    /// Adds a header to each response, with which the stand-in says something of itself.
+    pub fn announce(&self, name: &'static str, value: &'static str) {
+        let header = (HeaderName::from_static(name), HeaderValue::from_static(value));
+        lock(&self.plan).notices.push(header);
+    }
+
+    pub(crate) fn notices(&self) -> Vec<(HeaderName, HeaderValue)> {
+        lock(&self.plan).notices.clone()
+    }
+
+    /// Clears delay, refusal, marker, cut and announcements.
     pub fn clear(&self) {
         *lock(&self.plan) = Plan::default();
     }
--- a/crates/agateflow-standin/src/host.rs
+++ b/crates/agateflow-standin/src/host.rs
@@ -202,7 +202,7 @@
         if !self.app.is_work(&request) {
             return self.app.call(request).await;
         }
-        match self.faults.meet(request.body()).await {
+        let mut response = match self.faults.meet(request.body()).await {
             fault::Verdict::Refuse => reply::error(StatusCode::SERVICE_UNAVAILABLE, "refused"),
             fault::Verdict::Crash => {
                 self.faults.switch(fault::Mode::Crashed);
@@ -212,7 +212,9 @@
                 let response = self.app.call(request).await;
                 cut(response, cut_after)
             }
-        }
+        };
+        response.headers_mut().extend(self.faults.notices());
+        response
     }
 }
 
--- a/crates/agateflow/src/direct/rate.rs
+++ b/crates/agateflow/src/direct/rate.rs
@@ -10,7 +10,7 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
-use super::directory::{Incarnation, Upstream};
+use super::directory::Incarnation;
 use super::share::Share;
 use crate::{id, unit};
 
@@ -264,27 +264,34 @@
         self.upstreams.iter().map(|(vm, tracked)| tracked.report(vm, now)).collect()
     }
 
-    /// Whether the limit of `upstream` allows this entry another request now.
-    pub fn allows(&mut self, upstream: &Upstream, now: unit::Millis) -> bool {
+    /// Whether the limit of the upstream at `vm`, started at `started_at`, allows this entry another
+    /// request now.
+    pub fn allows(&mut self, vm: &id::Vm, started_at: u64, now: unit::Millis) -> bool {
         let members = self.members;
-        self.find(upstream).is_none_or(|tracked| {
+        self.find(vm, started_at).is_none_or(|tracked| {
             tracked.limit.is_none()
                 || (tracked.refill(members, now) >= 1.0 && tracked.share.has_credit())
         })
     }
 
-    /// Counts a request sent to `upstream`.
-    pub fn record_send(&mut self, upstream: &Upstream) {
-        if let Some(tracked) = self.find(upstream) {
+    /// This entry's part of the limit, in requests per second.
+    pub fn own_rate(&mut self, vm: &id::Vm, started_at: u64) -> Option<f64> {
+        let known = self.members.known.max(1) as f64;
+        let limit = self.find(vm, started_at)?.limit?;
+        Some(limit.get().max(MIN_RATE) / known)
+    }
+
+    /// Counts a request sent to the upstream.
+    pub fn record_send(&mut self, vm: &id::Vm, started_at: u64) {
+        if let Some(tracked) = self.find(vm, started_at) {
             tracked.sent += 1;
             tracked.level += 1.0;
             tracked.share.spend();
         }
     }
 
-    fn find(&mut self, upstream: &Upstream) -> Option<&mut Tracked> {
-        let tracked = self.upstreams.get_mut(&upstream.vm)?;
-        (tracked.started_at == upstream.started_at).then_some(tracked)
+    fn find(&mut self, vm: &id::Vm, started_at: u64) -> Option<&mut Tracked> {
+        self.upstreams.get_mut(vm).filter(|tracked| tracked.started_at == started_at)
     }
 
     /// Forgets upstreams for which `is_listed` is false, and those whose limit was lifted long ago.
--- a/crates/agateflow/tests/rate_play.rs
+++ b/crates/agateflow/tests/rate_play.rs
@@ -217,7 +217,7 @@
                 upstream,
                 limit: 12.0,
                 open: true,
-                within_rate: entry.register.allows(upstream, now),
+                within_rate: entry.register.allows(&upstream.vm, upstream.started_at, now),
             })
             .collect();
         let here = id::DataCentre::new("a").unwrap();
@@ -229,7 +229,7 @@
         };
         let at = self.listed.iter().position(|upstream| upstream.vm == vm).unwrap();
         entry.load.start(&vm);
-        entry.register.record_send(&self.listed[at]);
+        entry.register.record_send(&vm, self.listed[at].started_at);
         entry.running.push_back((self.now + RUN_MS, at, self.now));
         self.seen.served += 1;
         self.record_arrival(number, at);
--- a/crates/agateflowd/src/direct/groups.rs
+++ b/crates/agateflowd/src/direct/groups.rs
@@ -71,7 +71,7 @@
                 .entry(group::name(upstream))
                 .or_insert_with(|| self.with_group(&group::Id::of(upstream), inspect));
             let limit = limit.unwrap_or(f64::from(upstream.slots));
-            let within_rate = rates.allows(upstream, now);
+            let within_rate = rates.allows(&upstream.vm, upstream.started_at, now);
             Candidate { upstream, limit, open: open && upstream.open, within_rate }
         };
         directory.ready(service).map(candidate).collect()
--- a/crates/agateflowd/src/direct/permit.rs
+++ b/crates/agateflowd/src/direct/permit.rs
@@ -231,7 +231,7 @@
             group.stall.request_started(now);
             (group.limit(&upstream), group.limiter.as_ref().map(Limiter::cost_factor))
         });
-        self.rates.borrow_mut().record_send(&upstream);
+        self.rates.borrow_mut().record_send(vm, upstream.started_at);
         let mut load = self.load.borrow_mut();
         load.start(vm);
         let active = load.active(vm);
--- a/crates/agateflowd/src/upstream/attempt.rs
+++ b/crates/agateflowd/src/upstream/attempt.rs
@@ -3,8 +3,10 @@
 use std::collections::VecDeque;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use agateflow::admission::{self, Ending, Input, Output, Table, answer, ticket};
+use agateflow::direct::rate;
 use agateflow::event::Event;
 use agateflow::fleet::message;
 use agateflow::id;
@@ -27,6 +29,9 @@
 /// Detail of failed attempts.
 const FAILURE_DETAIL: &str = "the engine gave no whole answer";
 
+/// Interval between checks whether the engine's rate limit allows another dispatch.
+const RECHECK_INTERVAL: Duration = Duration::from_millis(20);
+
 /// A queued or running attempt.
 #[derive(Clone)]
 struct Active {
@@ -115,9 +120,9 @@
 
 impl Registry {
     /// Creates a registry without attempts.
-    pub fn new(table: Table, issuer: ticket::Issuer) -> Self {
-        let active = IndexMap::new();
-        let state = State { table, issuer, active, scheduler: Scheduler::new(), draining: false };
+    pub fn new(table: Table, issuer: ticket::Issuer, vm: id::Vm) -> Self {
+        let (active, scheduler) = (IndexMap::new(), Scheduler::new(vm));
+        let state = State { table, issuer, active, scheduler, draining: false };
         Self { state: Mutex::new(state) }
     }
 
@@ -238,8 +243,15 @@
     loop {
         let decisions = {
             let mut state = shared.attempts.state();
-            let Some(input) = state.scheduler.next_dispatch(clock::now()) else { return };
-            state.apply(input)
+            let now = clock::now();
+            match state.scheduler.next_dispatch(now) {
+                Some(input) => state.apply(input),
+                None if state.scheduler.start_recheck(now) => {
+                    tokio::spawn(recheck(shared.clone()));
+                    return;
+                }
+                None => return,
+            }
         };
         for decision in decisions {
             // Spawned, since the link of another attempt may be slow.
@@ -249,6 +261,13 @@
     }
 }
 
+/// Dispatches attempts that the engine's rate limit held back.
+async fn recheck(shared: Arc<Shared>) {
+    time::sleep(RECHECK_INTERVAL).await;
+    shared.attempts.state().scheduler.end_recheck();
+    dispatch_queued(&shared);
+}
+
 /// Queues an admitted attempt.
 fn enqueue(shared: &Shared, id: id::Attempt) -> Option<Input> {
     let fleet = shared.fleet.borrow().clone();
@@ -369,9 +388,23 @@
     Box::pin(process(shared, Input::Finished { id, ending }, None))
 }
 
+/// Records what the engine says of itself in the response to a call sent at `sent_at`.
+fn record_notice(shared: &Shared, headers: &http::HeaderMap, sent_at: unit::Millis) {
+    let limit = backend::rate_limit(headers);
+    let changed = shared.attempts.state().scheduler.record_limit(limit, sent_at, clock::now());
+    if changed {
+        event!(shared.logger, Event::RateLimitNamed; "upstream" => %shared.identity.vm,
+            "limit" => limit.map(rate::Limit::get), "source" => "response");
+    }
+}
+
 async fn call_engine(shared: &Shared, start: &frame::Start, sender: &Sender) -> Ending {
+    let sent_at = clock::now();
     let response = match shared.backend.call(start).await {
-        Ok(response) => response,
+        Ok(response) => {
+            record_notice(shared, response.headers(), sent_at);
+            response
+        }
         Err(error @ backend::Error::Ambiguous { .. }) => {
             event!(shared.logger, Event::EngineFailed; "attempt" => %start.id, "cause" => %error);
             return Ending::Crashed;
--- a/crates/agateflowd/src/upstream/backend.rs
+++ b/crates/agateflowd/src/upstream/backend.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use agateflow::admission::answer;
+use agateflow::direct::rate;
 use agateflow::wire::frame;
 use bytes::Bytes;
 use http::header;
@@ -23,6 +24,9 @@
 /// Request header with the priority class.
 const PRIORITY_HEADER: &str = "agateflow-priority";
 
+/// Response header with the requests per second that the engine accepts, if limited.
+const RATE_LIMIT_HEADER: &str = "agateflow-rate-limit";
+
 /// Shorter than the idle timeout of common servers.
 const POOL_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 
@@ -125,11 +129,16 @@
     Ok(())
 }
 
+/// The request rate limit that the engine names in a response.
+pub fn rate_limit(headers: &http::HeaderMap) -> Option<rate::Limit> {
+    headers.get(RATE_LIMIT_HEADER)?.to_str().ok()?.parse().ok()
+}
+
 /// Response headers that are forwarded to the caller.
 pub fn end_to_end_headers(headers: &http::HeaderMap) -> Vec<answer::Header> {
     headers
         .iter()
-        .filter(|(name, _)| !is_hop_by_hop(name))
+        .filter(|(name, _)| !is_hop_by_hop(name) && name.as_str() != RATE_LIMIT_HEADER)
         .map(|(name, value)| answer::Header {
             name: name.as_str().into(),
             value: Bytes::copy_from_slice(value.as_bytes()),
--- a/crates/agateflowd/src/upstream/mod.rs
+++ b/crates/agateflowd/src/upstream/mod.rs
@@ -179,7 +179,7 @@
     let limits = admission::Limits { retention: RETENTION, ..admission::Limits::default() };
     let table = admission::Table::new(owner, limits);
     let issuer = ticket::Issuer::new(identity.vm.clone(), identity.incarnation, TICKET_LIFETIME);
-    attempt::Registry::new(table, issuer)
+    attempt::Registry::new(table, issuer, identity.vm.clone())
 }
 
 /// Expires records, abandons attempts whose entry does not reconnect, and reports the load.
--- a/crates/agateflowd/src/upstream/scheduler.rs
+++ b/crates/agateflowd/src/upstream/scheduler.rs
@@ -2,6 +2,8 @@
 
 use agateflow::admission::{Input, reason};
 use agateflow::config;
+use agateflow::direct::directory::Incarnation;
+use agateflow::direct::rate;
 use agateflow::fleet::message;
 use agateflow::id;
 use agateflow::queue::{self, Queue};
@@ -20,6 +22,10 @@
 /// Weight of a team that is not in the configuration.
 const DEFAULT_WEIGHT: f64 = 1.0;
 
+/// Start time of the engine, which is not known. A limit that an engine named before a restart holds until
+/// the next response.
+const ENGINE_START: u64 = 0;
+
 /// An attempt that was dispatched to the engine.
 struct Running {
     tokens: unit::Tokens,
@@ -32,14 +38,45 @@
     arrivals: IndexMap<id::Attempt, unit::Millis>,
     running: IndexMap<id::Attempt, Running>,
     batch: usize,
+    engine: Incarnation,
+    rates: rate::Register,
+    recheck_pending: bool,
 }
 
 impl Scheduler {
-    /// Creates the scheduler of an idle engine.
-    pub fn new() -> Self {
+    /// Creates the scheduler of an idle engine on `vm`.
+    pub fn new(vm: id::Vm) -> Self {
         let queue = Queue::new(QUEUE_CAPACITY);
         let (arrivals, running) = (IndexMap::new(), IndexMap::new());
-        Self { queue, arrivals, running, batch: SERVICE_BATCH }
+        let engine = Incarnation { vm, started_at: ENGINE_START };
+        let rates = rate::Register::new();
+        Self {
+            queue,
+            arrivals,
+            running,
+            batch: SERVICE_BATCH,
+            engine,
+            rates,
+            recheck_pending: false,
+        }
+    }
+
+    /// Records the rate limit that the engine named in its response to an attempt dispatched at
+    /// `sent_at`. Returns whether it changed.
+    pub fn record_limit(
+        &mut self,
+        limit: Option<rate::Limit>,
+        sent_at: unit::Millis,
+        now: unit::Millis,
+    ) -> bool {
+        self.rates.record_limit(&self.engine, limit, sent_at, now)
+    }
+
+    /// Time until the engine's rate limit lets an attempt pass behind those that wait.
+    fn rate_wait(&mut self) -> unit::Millis {
+        let position = (self.queue.waiting() + 1) as f64;
+        let rate = self.rates.own_rate(&self.engine.vm, ENGINE_START);
+        unit::Millis::new(rate.map_or(0.0, |rate| position / rate * 1_000.0) as u64)
     }
 
     /// Sets the concurrency limit from the configuration.
@@ -55,6 +92,10 @@
         now: unit::Millis,
     ) -> Option<Input> {
         let id = start.id;
+        let retry_after = self.rate_wait();
+        if now + retry_after > start.valid_until.min(now + start.deadline) {
+            return Some(Input::Reject { id, reason: reason::Reason::Late, retry_after });
+        }
         match self.queue.push(item(start, fleet, now), now) {
             Ok(()) => {
                 self.arrivals.insert(id, now);
@@ -74,7 +115,11 @@
         if self.running.len() >= self.batch {
             return None;
         }
+        if !self.rates.allows(&self.engine.vm, ENGINE_START, now) {
+            return None;
+        }
         let item = self.queue.pop()?;
+        self.rates.record_send(&self.engine.vm, ENGINE_START);
         if let Some(arrived) = self.arrivals.swap_remove(&item.id) {
             meter::queued(&item.team, now.saturating_sub(arrived).duration());
         }
@@ -82,6 +127,20 @@
         Some(Input::Dispatch(item.id))
     }
 
+    /// Whether to start a timer for the next dispatch, as the engine's rate limit holds attempts back. The
+    /// timer ends with [`Scheduler::end_recheck`].
+    pub fn start_recheck(&mut self, now: unit::Millis) -> bool {
+        let is_held = self.queue.waiting() > 0
+            && self.running.len() < self.batch
+            && !self.rates.allows(&self.engine.vm, ENGINE_START, now);
+        is_held && !std::mem::replace(&mut self.recheck_pending, true)
+    }
+
+    /// Ends the timer.
+    pub const fn end_recheck(&mut self) {
+        self.recheck_pending = false;
+    }
+
     /// Measures an attempt with a complete response.
     pub fn record_completion(&mut self, id: id::Attempt, now: unit::Millis) {
         if let Some(running) = self.running.get(&id) {
