--- a/crates/agateflow/src/event.rs
+++ b/crates/agateflow/src/event.rs
@@ -154,6 +154,8 @@
     /// An upstream named another request rate limit in a response, or none any more, as this entry or
     /// another one heard.
     718 RateLimitNamed Info "upstream named its rate limit";
+    /// An upstream said in a response that it accepts no requests for a while, or that it leaves.
+    719 UpstreamNotice Info "upstream asks for no requests";
 }
 
 impl Event {
--- a/crates/agateflowd/src/direct/adapter.rs
+++ b/crates/agateflowd/src/direct/adapter.rs
@@ -53,6 +53,10 @@
 pub struct Notice {
     /// Request rate that it accepts from all entries together, if limited.
     pub rate_limit: Option<rate::Limit>,
+    /// Time for which it accepts no requests from this entry, if it refused one.
+    pub rest: Option<unit::Millis>,
+    /// Whether it is shutting down.
+    pub leaving: bool,
 }
 
 /// Header format of a platform.
--- a/crates/agateflowd/src/direct/notice.rs
+++ b/crates/agateflowd/src/direct/notice.rs
@@ -3,7 +3,7 @@
 use agateflow::direct::directory::Incarnation;
 use agateflow::direct::rate;
 use agateflow::event::Event;
-use agateflow::id;
+use agateflow::{id, unit};
 use http::response;
 
 use super::Entry;
@@ -15,6 +15,10 @@
     pub fn record_notice(&self, head: &response::Parts, permit: &Permit) {
         let notice = self.dialect.parse_notice(head);
         let upstream = permit.upstream.incarnation();
+        if notice.rest.is_some() || notice.leaving {
+            event!(self.logger, Event::UpstreamNotice; "upstream" => %upstream.vm,
+                "rest" => notice.rest.map(unit::Millis::get), "leaving" => notice.leaving);
+        }
         let limit = notice.rate_limit;
         let changed =
             self.rates.borrow_mut().record_limit(&upstream, limit, permit.granted_at, self.now());
--- a/crates/agateflowd/tests/directenv/mod.rs
+++ b/crates/agateflowd/tests/directenv/mod.rs
@@ -27,7 +27,7 @@
 use tokio::time;
 
 /// Header format of these tests: `id` identifies a request, `not-run` and `proof` classify a
-/// response, in which `rate-limit` names the limit of the upstream.
+/// response, in which an upstream says of itself `rate-limit`, `rest-ms` and `leaving`.
 pub struct Headers;
 
 pub fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
@@ -69,7 +69,12 @@
 
     fn parse_notice(&self, head: &response::Parts) -> Notice {
         let rate_limit = header_text(&head.headers, "rate-limit");
-        Notice { rate_limit: rate_limit.and_then(|limit| limit.parse().ok()) }
+        let rest = header_text(&head.headers, "rest-ms").and_then(|rest| rest.parse().ok());
+        Notice {
+            rate_limit: rate_limit.and_then(|limit| limit.parse().ok()),
+            rest: rest.map(Millis::new),
+            leaving: head.headers.contains_key("leaving"),
+        }
     }
 }
 
