Leave upstreams alone that ask for rest

Cause, of the same class as the rate limits: what an upstream says of itself in its responses was read by nothing. A refusal made it avoided for 100 ms, so it was tried again and again, as the least loaded one; and each such refusal, with capacity free, was taken for an outage of its whole group.

The entry now sends nothing to an upstream until its rest ends, a refusal with a rest no longer closes the group, and callers are told when the first rest ends if all upstreams rest.

--- a/crates/agateflow/src/direct/load.rs
+++ b/crates/agateflow/src/direct/load.rs
@@ -7,7 +7,7 @@
 use rand::Rng;
 use rand::seq::IndexedRandom;
 
-use super::directory::Upstream;
+use super::directory::{Incarnation, Upstream};
 use crate::{id, unit};
 
 /// Age at which counts from another entry expire.
@@ -19,6 +19,9 @@
 /// Longest time to avoid an upstream.
 const MAX_AVOID_TIME: unit::Millis = unit::Millis::new(3_000);
 
+/// Longest rest of an upstream that is kept to.
+const MAX_REST: unit::Millis = unit::Millis::new(300_000);
+
 /// Weight of the newest sample in the moving average of the failure rate.
 const SAMPLE_WEIGHT: f64 = 0.2;
 
@@ -78,6 +81,8 @@
     Full,
     /// The upstreams belong to a closed group of ranks.
     Closed,
+    /// All upstreams rest; the first of them until then.
+    Resting(unit::Millis),
     /// No untried upstream is left.
     None,
 }
@@ -93,6 +98,15 @@
     pub open: bool,
     /// Whether its rate limit allows another request of this entry now.
     pub within_rate: bool,
+    /// Until when it accepts no requests from this entry, if it asked for rest.
+    pub rests_until: Option<unit::Millis>,
+}
+
+impl Candidate<'_> {
+    /// Whether it may get a request if it has capacity.
+    const fn is_usable(&self) -> bool {
+        self.open && self.within_rate && self.rests_until.is_none()
+    }
 }
 
 /// Inputs to a choice.
@@ -112,6 +126,7 @@
     records: IndexMap<id::Vm, Record>,
     reports: IndexMap<Box<str>, Report>,
     peer_totals: IndexMap<id::Vm, u32>,
+    rests: IndexMap<Incarnation, unit::Millis>,
 }
 
 impl Load {
@@ -165,6 +180,22 @@
         true
     }
 
+    /// Records that an upstream accepts no requests from this entry for `rest`.
+    pub fn record_rest(&mut self, upstream: Incarnation, rest: unit::Millis, now: unit::Millis) {
+        self.rests.retain(|_, until| now < *until);
+        let until = self.rests.entry(upstream).or_default();
+        *until = (*until).max(now + rest.min(MAX_REST));
+    }
+
+    /// Until when `upstream` rests, if it does.
+    pub fn rests_until(&self, upstream: &Upstream, now: unit::Millis) -> Option<unit::Millis> {
+        if self.rests.is_empty() {
+            return None;
+        }
+        let until = self.rests.get(&upstream.incarnation()).copied();
+        until.filter(|&until| now < until)
+    }
+
     /// Replaces the counts reported by `peer`.
     pub fn report(&mut self, peer: &str, counts: IndexMap<id::Vm, u32>, now: unit::Millis) {
         for (vm, count) in &counts {
@@ -225,9 +256,9 @@
         self.peer_totals.retain(|_, count| *count > 0);
     }
 
-    /// Total free capacity of the open `candidates`, in requests; negative if over the limit.
+    /// Total free capacity of the usable `candidates`, in requests; negative if over the limit.
     pub fn free_capacity<'a>(&self, candidates: impl Iterator<Item = Candidate<'a>>) -> f64 {
-        let open = candidates.filter(|candidate| candidate.open && candidate.within_rate);
+        let open = candidates.filter(Candidate::is_usable);
         open.map(|open| open.limit - f64::from(self.active(&open.upstream.vm))).sum()
     }
 
@@ -250,6 +281,12 @@
         if untried.is_empty() {
             return Choice::Closed;
         }
+        let (resting, untried): (Vec<Candidate<'a>>, Vec<Candidate<'a>>) =
+            untried.into_iter().partition(|c| c.rests_until.is_some());
+        if untried.is_empty() {
+            let until = resting.iter().filter_map(|c| c.rests_until).min();
+            return Choice::Resting(until.unwrap_or(now));
+        }
         let is_healthy = |c: &&Candidate<'_>| !self.is_avoided(&c.upstream.vm, now);
         let healthy: Vec<Candidate<'a>> = untried.iter().filter(is_healthy).copied().collect();
         let pool = if healthy.is_empty() { untried } else { healthy };
--- a/crates/agateflow/tests/direct_group.rs
+++ b/crates/agateflow/tests/direct_group.rs
@@ -217,6 +217,7 @@
             limit: 9.0,
             open: group::name(upstream) == "b",
             within_rate: true,
+            rests_until: None,
         })
     };
     let mut rng = Pcg64Mcg::seed_from_u64(1);
@@ -243,6 +244,7 @@
         limit: limit(upstream),
         open: true,
         within_rate: true,
+        rests_until: None,
     });
 
     let choice = load.choose(
--- a/crates/agateflow/tests/directfixture/mod.rs
+++ b/crates/agateflow/tests/directfixture/mod.rs
@@ -95,5 +95,6 @@
         limit,
         open: upstream.open,
         within_rate: true,
+        rests_until: None,
     })
 }
--- a/crates/agateflow/tests/heavy.rs
+++ b/crates/agateflow/tests/heavy.rs
@@ -297,7 +297,13 @@
             };
             let entries = self.fleet.entries;
             let context = Context { tried: &[], local_data_centre: &local_data_centre, entries };
-            let candidate = |upstream| Candidate { upstream, limit, open: true, within_rate: true };
+            let candidate = |upstream| Candidate {
+                upstream,
+                limit,
+                open: true,
+                within_rate: true,
+                rests_until: None,
+            };
             let candidates = self.upstreams.iter().map(candidate);
             let choice = entry.load.choose(candidates.clone(), &context, &mut self.rng, at);
             let Choice::Send(chosen) = choice else { return };
--- a/crates/agateflow/tests/rate_play.rs
+++ b/crates/agateflow/tests/rate_play.rs
@@ -218,6 +218,7 @@
                 limit: 12.0,
                 open: true,
                 within_rate: entry.register.allows(&upstream.vm, upstream.started_at, now),
+                rests_until: None,
             })
             .collect();
         let here = id::DataCentre::new("a").unwrap();
--- a/crates/agateflowd/src/direct/call.rs
+++ b/crates/agateflowd/src/direct/call.rs
@@ -270,6 +270,7 @@
         match refusal {
             Refusal::Closed(retry_delay) => self.refuse("group of ranks closed", retry_delay),
             Refusal::NoUpstream(retry_delay) => self.refuse("no upstream", retry_delay),
+            Refusal::Resting(retry_delay) => self.refuse("upstreams ask for rest", retry_delay),
             Refusal::Busy(retry_delay) => self.refuse("no place in time", retry_delay),
             Refusal::Convicted(retry_delay) => {
                 self.refuse("request crashes upstreams", retry_delay)
--- a/crates/agateflowd/src/direct/exchange.rs
+++ b/crates/agateflowd/src/direct/exchange.rs
@@ -14,7 +14,7 @@
 use hyper::body::Incoming;
 use tokio::time;
 
-use super::adapter::{Forward, Verdict};
+use super::adapter::{Forward, Notice, Verdict};
 use super::call::Call;
 use super::permit::{self, Permit, Refusal};
 use super::pool;
@@ -236,9 +236,10 @@
         let (head, body) = exchange.response.into_parts();
         let upstream = exchange.permit.upstream.clone();
         let verdict = self.entry.dialect.classify_response(&head, &self.request.info);
-        if matches!(verdict, Verdict::Own | Verdict::NotRun) {
-            self.entry.record_notice(&head, &exchange.permit);
-        }
+        let notice = match verdict {
+            Verdict::Own | Verdict::NotRun => self.entry.record_notice(&head, &exchange.permit),
+            Verdict::Misdirected | Verdict::Foreign => Notice::default(),
+        };
         let end = match verdict {
             Verdict::Own => {
                 self.entry.record_activity(&upstream);
@@ -262,8 +263,10 @@
         if verdict == Verdict::Misdirected || verdict == Verdict::NotRun {
             self.in_flight.set(false);
         }
-        if verdict == Verdict::NotRun && f64::from(exchange.permit.active) <= exchange.permit.limit
-        {
+        let is_unexpected = verdict == Verdict::NotRun
+            && notice.rest.is_none()
+            && f64::from(exchange.permit.active) <= exchange.permit.limit;
+        if is_unexpected {
             self.entry.record_unexpected_refusal(&upstream);
         }
         if verdict == Verdict::Misdirected {
--- a/crates/agateflowd/src/direct/groups.rs
+++ b/crates/agateflowd/src/direct/groups.rs
@@ -62,6 +62,7 @@
         let now = self.now();
         let mut by_group: IndexMap<&str, (Option<f64>, bool)> = IndexMap::new();
         let mut rates = self.rates.borrow_mut();
+        let load = self.load.borrow();
         let candidate = |upstream: &'a Upstream| {
             let inspect = |group: &mut Group| {
                 let limit = group.limiter.as_ref().map(Limiter::limit);
@@ -72,7 +73,8 @@
                 .or_insert_with(|| self.with_group(&group::Id::of(upstream), inspect));
             let limit = limit.unwrap_or(f64::from(upstream.slots));
             let within_rate = rates.allows(&upstream.vm, upstream.started_at, now);
-            Candidate { upstream, limit, open: open && upstream.open, within_rate }
+            let rests_until = load.rests_until(upstream, now);
+            Candidate { upstream, limit, open: open && upstream.open, within_rate, rests_until }
         };
         directory.ready(service).map(candidate).collect()
     }
--- a/crates/agateflowd/src/direct/notice.rs
+++ b/crates/agateflowd/src/direct/notice.rs
@@ -7,18 +7,22 @@
 use http::response;
 
 use super::Entry;
+use super::adapter::Notice;
 use super::permit::Permit;
 use crate::event;
 
 impl Entry {
-    /// Records what the upstream of `permit` says of itself in a response.
-    pub fn record_notice(&self, head: &response::Parts, permit: &Permit) {
+    /// Records and returns what the upstream of `permit` says of itself in a response.
+    pub fn record_notice(&self, head: &response::Parts, permit: &Permit) -> Notice {
         let notice = self.dialect.parse_notice(head);
         let upstream = permit.upstream.incarnation();
         if notice.rest.is_some() || notice.leaving {
             event!(self.logger, Event::UpstreamNotice; "upstream" => %upstream.vm,
                 "rest" => notice.rest.map(unit::Millis::get), "leaving" => notice.leaving);
         }
+        if let Some(rest) = notice.rest {
+            self.load.borrow_mut().record_rest(upstream.clone(), rest, self.now());
+        }
         let limit = notice.rate_limit;
         let changed =
             self.rates.borrow_mut().record_limit(&upstream, limit, permit.granted_at, self.now());
@@ -26,6 +30,7 @@
             self.log_rate(&rate::Change { upstream: upstream.vm, limit }, "response");
             self.heartbeat_trigger.notify_one();
         }
+        notice
     }
 
     /// Merges what another entry reports of rate limits.
--- a/crates/agateflowd/src/direct/permit.rs
+++ b/crates/agateflowd/src/direct/permit.rs
@@ -50,6 +50,8 @@
     NoUpstream(unit::Millis),
     /// All groups of ranks are closed.
     Closed(unit::Millis),
+    /// All upstreams asked for rest.
+    Resting(unit::Millis),
     /// The wait would be too long.
     Busy(unit::Millis),
     /// The request crashes upstreams.
@@ -126,7 +128,10 @@
                     return Ok(permit);
                 }
             }
-            Choice::Send(_) | Choice::Full | Choice::Closed => {}
+            Choice::Resting(until) if request.item.latest_start < until => {
+                return Err(self.resting_refusal(until));
+            }
+            Choice::Send(_) | Choice::Full | Choice::Closed | Choice::Resting(_) => {}
         }
         self.wait_in_queue(request).await
     }
@@ -143,11 +148,19 @@
         Refusal::Closed(retry_delay.min().unwrap_or(NO_UPSTREAM_RETRY_AFTER))
     }
 
+    /// The refusal while all upstreams rest, the first of them until `until`.
+    fn resting_refusal(&self, until: unit::Millis) -> Refusal {
+        Refusal::Resting(until.saturating_sub(self.now()))
+    }
+
     /// `retry-after` for a request that upstreams refused.
     pub fn retry_delay(&self, service: &id::Service) -> unit::Millis {
-        if self.choose_upstream(service, &[]) == Choice::Closed
-            && let Refusal::Closed(retry_delay) = self.closed_refusal(service)
-        {
+        let refusal = match self.choose_upstream(service, &[]) {
+            Choice::Closed => Some(self.closed_refusal(service)),
+            Choice::Resting(until) => Some(self.resting_refusal(until)),
+            Choice::Send(_) | Choice::Full | Choice::None => None,
+        };
+        if let Some(Refusal::Closed(retry_delay) | Refusal::Resting(retry_delay)) = refusal {
             return retry_delay;
         }
         let services = self.services.borrow();
@@ -185,8 +198,10 @@
 
     /// Refusal of a request whose wait was or would be too long.
     fn queue_refusal(&self, request: &Request) -> Refusal {
-        if self.choose_upstream(&request.service, &request.tried) == Choice::Closed {
-            return self.closed_refusal(&request.service);
+        match self.choose_upstream(&request.service, &request.tried) {
+            Choice::Closed => return self.closed_refusal(&request.service),
+            Choice::Resting(until) => return self.resting_refusal(until),
+            Choice::Send(_) | Choice::Full | Choice::None => {}
         }
         let services = self.services.borrow();
         let queue = services.get(&request.service).map(|service| &service.queue);
@@ -259,6 +274,10 @@
                     self.with_service(service, |service| service.queue.extend_for_opening());
                     return;
                 }
+                Choice::Resting(until) => {
+                    self.expire_waiters(service, until);
+                    return;
+                }
                 Choice::None => {
                     self.remove_waiter(service, ticket);
                     continue;
--- a/crates/agateflowd/tests/direct_notice.rs
+++ b/crates/agateflowd/tests/direct_notice.rs
@@ -10,8 +10,9 @@
 use agateflow::direct::directory::{Change, Rank, Revision, State, Upstream};
 use agateflow::id;
 use agateflow::unit::Millis;
+use agateflowd::direct::peer_sync;
 use directenv::{Fixture, Server, config, listing, ok_response, refusal_response, run_local};
-use tokio::time;
+use tokio::{task, time};
 
 /// Interval between two requests.
 const INTERVAL: Duration = Duration::from_millis(50);
@@ -104,6 +105,7 @@
         fixture.entry.apply_config(config_with_engine(), "test");
         list_rank(&fixture, &resting, 0);
         list_rank(&fixture, &free, 1);
+        task::spawn_local(peer_sync::run_housekeeping(fixture.entry.clone()));
 
         for id in 0..20 {
             let got = fixture.call("/safe/", &id.to_string()).await;
