Send no more requests to upstreams that say in a response that they leave

Cause: the third thing that an upstream says of itself in its responses and that nothing read. It now counts as draining at once, as if the registry had said so, and the other entries hear of it with the next heartbeat. Draining was lost when the registry removed such an upstream and listed it again; it now holds for that run of the process.

--- a/crates/agateflow/src/direct/directory.rs
+++ b/crates/agateflow/src/direct/directory.rs
@@ -115,6 +115,13 @@
     Removed(id::Vm),
 }
 
+/// A removed upstream.
+#[derive(Clone, Copy, Debug)]
+struct Tombstone {
+    removed_at: unit::Millis,
+    draining: bool,
+}
+
 #[derive(Clone, Debug)]
 struct Listing {
     upstream: Upstream,
@@ -128,7 +135,7 @@
     revision: Revision,
     registry_back_at: Option<unit::Millis>,
     registry_down: bool,
-    tombstones: IndexMap<Incarnation, unit::Millis>,
+    tombstones: IndexMap<Incarnation, Tombstone>,
 }
 
 impl Directory {
@@ -184,12 +191,12 @@
 
     /// Adds or updates an upstream. Draining is final for an incarnation.
     fn upsert(&mut self, mut upstream: Upstream) {
-        self.tombstones.swap_remove(&upstream.incarnation());
+        let tombstone = self.tombstones.swap_remove(&upstream.incarnation());
         let known = self.listings.get(&upstream.vm).map(|listing| &listing.upstream);
         let is_draining = known.is_some_and(|known| {
             known.started_at == upstream.started_at && known.state == State::Draining
         });
-        if is_draining {
+        if is_draining || tombstone.is_some_and(|tombstone| tombstone.draining) {
             upstream.state = State::Draining;
         }
         self.listings.insert(upstream.vm.clone(), Listing { upstream, removal_pending: false });
@@ -197,7 +204,9 @@
 
     fn remove(&mut self, vm: &id::Vm, now: unit::Millis) {
         if let Some(listing) = self.listings.swap_remove(vm) {
-            self.tombstones.insert(listing.upstream.incarnation(), now);
+            let draining = listing.upstream.state == State::Draining;
+            let tombstone = Tombstone { removed_at: now, draining };
+            self.tombstones.insert(listing.upstream.incarnation(), tombstone);
         }
     }
 
@@ -218,15 +227,19 @@
         }
     }
 
-    /// Marks upstreams as draining that another entry reported so.
-    pub fn mark_draining(&mut self, leaving: &[Incarnation]) {
+    /// Marks upstreams as draining that said so in a response, to this entry or another one. Returns
+    /// whether any of them was listed as ready.
+    pub fn mark_draining(&mut self, leaving: &[Incarnation]) -> bool {
+        let mut changed = false;
         for incarnation in leaving {
             if let Some(listing) = self.listings.get_mut(&incarnation.vm)
                 && listing.upstream.started_at == incarnation.started_at
             {
-                listing.upstream.state = State::Draining;
+                let before = std::mem::replace(&mut listing.upstream.state, State::Draining);
+                changed |= before == State::Ready;
             }
         }
+        changed
     }
 
     /// Upstreams that are draining.
@@ -245,7 +258,7 @@
         for vm in &removed {
             self.remove(vm, now);
         }
-        self.tombstones.retain(|_, at| now < *at + TOMBSTONE_TTL);
+        self.tombstones.retain(|_, tombstone| now < tombstone.removed_at + TOMBSTONE_TTL);
         removed
     }
 
--- a/crates/agateflow/tests/direct.rs
+++ b/crates/agateflow/tests/direct.rs
@@ -125,6 +125,22 @@
     assert!(directory.get(&vm("u")).is_some());
 }
 
+#[test]
+fn upstream_that_said_it_drains_stays_so_when_the_registry_lists_it_again() {
+    let mut directory = Directory::new();
+    directory.apply(Change::Listed(upstream("u")), rev(1), ms(0));
+    let changed = directory.mark_draining(&[upstream("u").incarnation()]);
+    directory.apply(Change::Removed(vm("u")), rev(2), ms(10));
+
+    directory.apply(Change::Listed(upstream("u")), rev(3), ms(20));
+
+    assert!(changed);
+    assert!(directory.get(&vm("u")).is_none());
+    let next = Upstream { started_at: 2, ..upstream("u") };
+    directory.apply(Change::Listed(next), rev(4), ms(30));
+    assert!(directory.get(&vm("u")).is_some());
+}
+
 #[test]
 fn draining_upstream_is_not_chosen() {
     let mut directory = Directory::new();
--- a/crates/agateflowd/src/direct/notice.rs
+++ b/crates/agateflowd/src/direct/notice.rs
@@ -20,6 +20,9 @@
             event!(self.logger, Event::UpstreamNotice; "upstream" => %upstream.vm,
                 "rest" => notice.rest.map(unit::Millis::get), "leaving" => notice.leaving);
         }
+        if notice.leaving {
+            self.record_leaving(&upstream);
+        }
         if let Some(rest) = notice.rest {
             self.load.borrow_mut().record_rest(upstream.clone(), rest, self.now());
         }
@@ -33,6 +36,14 @@
         notice
     }
 
+    /// Sends an upstream that leaves no more requests, and tells the other entries.
+    fn record_leaving(&self, upstream: &Incarnation) {
+        let leaving = std::slice::from_ref(upstream);
+        if self.directory.borrow_mut().mark_draining(leaving) {
+            self.heartbeat_trigger.notify_one();
+        }
+    }
+
     /// Merges what another entry reports of rate limits.
     pub fn merge_rates(&self, peer: id::Incarnation, reports: &[rate::Report]) {
         if reports.is_empty() {
