--- a/crates/agateflowd/src/lib.rs
+++ b/crates/agateflowd/src/lib.rs
@@ -14,5 +14,6 @@
 pub mod meter;
 pub mod operators;
 pub mod process;
+pub mod retry_after;
 pub mod signal;
 pub mod upstream;
--- a/crates/agateflowd/src/upstream/attempt.rs
+++ b/crates/agateflowd/src/upstream/attempt.rs
@@ -18,6 +18,7 @@
 use tokio::time;
 use tokio_util::sync::CancellationToken;
 
+use crate::direct::adapter::Notice;
 use crate::upstream::scheduler::Scheduler;
 use crate::upstream::sender::Sender;
 use crate::upstream::{Shared, backend, relay};
@@ -147,7 +148,7 @@
 
     /// Returns the load of the engine and its queue.
     pub fn load(&self) -> message::Load {
-        self.state().scheduler.load()
+        self.state().scheduler.load(clock::now())
     }
 
     /// Records how far the entry has consumed a response.
@@ -389,12 +390,15 @@
 }
 
 /// Records what the engine says of itself in the response to a call sent at `sent_at`.
-fn record_notice(shared: &Shared, headers: &http::HeaderMap, sent_at: unit::Millis) {
-    let limit = backend::rate_limit(headers);
-    let changed = shared.attempts.state().scheduler.record_limit(limit, sent_at, clock::now());
+fn record_notice(shared: &Shared, notice: Notice, sent_at: unit::Millis) {
+    if notice.rest.is_some() || notice.leaving {
+        event!(shared.logger, Event::UpstreamNotice; "upstream" => %shared.identity.vm,
+            "rest" => notice.rest.map(unit::Millis::get), "leaving" => notice.leaving);
+    }
+    let changed = shared.attempts.state().scheduler.record_notice(notice, sent_at, clock::now());
     if changed {
         event!(shared.logger, Event::RateLimitNamed; "upstream" => %shared.identity.vm,
-            "limit" => limit.map(rate::Limit::get), "source" => "response");
+            "limit" => notice.rate_limit.map(rate::Limit::get), "source" => "response");
     }
 }
 
@@ -402,7 +406,8 @@
     let sent_at = clock::now();
     let response = match shared.backend.call(start).await {
         Ok(response) => {
-            record_notice(shared, response.headers(), sent_at);
+            let notice = backend::parse_notice(response.status(), response.headers());
+            record_notice(shared, notice, sent_at);
             response
         }
         Err(error @ backend::Error::Ambiguous { .. }) => {
--- a/crates/agateflowd/src/upstream/backend.rs
+++ b/crates/agateflowd/src/upstream/backend.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use agateflow::admission::answer;
-use agateflow::direct::rate;
 use agateflow::wire::frame;
 use bytes::Bytes;
 use http::header;
@@ -15,6 +14,9 @@
 use volo_http::error::ClientError;
 use volo_http::response::Response;
 
+use crate::direct::adapter::Notice;
+use crate::retry_after;
+
 /// Request header with the attempt ID.
 const ATTEMPT_HEADER: &str = "agateflow-attempt";
 
@@ -129,16 +131,22 @@
     Ok(())
 }
 
-/// The request rate limit that the engine names in a response.
-pub fn rate_limit(headers: &http::HeaderMap) -> Option<rate::Limit> {
-    headers.get(RATE_LIMIT_HEADER)?.to_str().ok()?.parse().ok()
+/// What the engine says of itself in a response.
+pub fn parse_notice(status: http::StatusCode, headers: &http::HeaderMap) -> Notice {
+    let text = |name| headers.get(name).and_then(|value| value.to_str().ok());
+    let is_refusal = status == http::StatusCode::SERVICE_UNAVAILABLE;
+    Notice {
+        rate_limit: text(RATE_LIMIT_HEADER).and_then(|limit| limit.parse().ok()),
+        rest: retry_after::parse(headers).filter(|_| is_refusal),
+        leaving: false,
+    }
 }
 
 /// Response headers that are forwarded to the caller.
 pub fn end_to_end_headers(headers: &http::HeaderMap) -> Vec<answer::Header> {
     headers
         .iter()
-        .filter(|(name, _)| !is_hop_by_hop(name) && name.as_str() != RATE_LIMIT_HEADER)
+        .filter(|(name, _)| !is_hop_by_hop(name) && !is_notice(name))
         .map(|(name, value)| answer::Header {
             name: name.as_str().into(),
             value: Bytes::copy_from_slice(value.as_bytes()),
@@ -146,6 +154,11 @@
         .collect()
 }
 
+/// Whether the header is addressed to the upstream process.
+fn is_notice(name: &http::HeaderName) -> bool {
+    name.as_str() == RATE_LIMIT_HEADER
+}
+
 /// Whether the header applies to a single connection (RFC 9110, section 7.6.1).
 pub fn is_hop_by_hop(name: &http::HeaderName) -> bool {
     const NAMES: [header::HeaderName; 6] = [
--- a/crates/agateflowd/src/upstream/scheduler.rs
+++ b/crates/agateflowd/src/upstream/scheduler.rs
@@ -11,6 +11,7 @@
 use agateflow::wire::frame;
 use indexmap::IndexMap;
 
+use crate::direct::adapter::Notice;
 use crate::meter;
 
 /// Capacity of the queue, in attempts.
@@ -41,6 +42,8 @@
     engine: Incarnation,
     rates: rate::Register,
     recheck_pending: bool,
+    /// Until when the engine accepts no requests, as it asked for rest.
+    closed_until: unit::Millis,
 }
 
 impl Scheduler {
@@ -58,18 +61,25 @@
             engine,
             rates,
             recheck_pending: false,
+            closed_until: unit::Millis::ZERO,
         }
     }
 
-    /// Records the rate limit that the engine named in its response to an attempt dispatched at
-    /// `sent_at`. Returns whether it changed.
-    pub fn record_limit(
+    /// Records what the engine says of itself in its response to an attempt dispatched at `sent_at`.
+    /// Returns whether its rate limit changed.
+    pub fn record_notice(
         &mut self,
-        limit: Option<rate::Limit>,
+        notice: Notice,
         sent_at: unit::Millis,
         now: unit::Millis,
     ) -> bool {
-        self.rates.record_limit(&self.engine, limit, sent_at, now)
+        self.closed_until = self.closed_until.max(now + notice.rest.unwrap_or_default());
+        self.rates.record_limit(&self.engine, notice.rate_limit, sent_at, now)
+    }
+
+    /// Time until an attempt behind those that wait can be dispatched, by what the engine said.
+    fn notice_wait(&mut self, now: unit::Millis) -> unit::Millis {
+        self.closed_until.saturating_sub(now).max(self.rate_wait())
     }
 
     /// Time until the engine's rate limit lets an attempt pass behind those that wait.
@@ -92,7 +102,7 @@
         now: unit::Millis,
     ) -> Option<Input> {
         let id = start.id;
-        let retry_after = self.rate_wait();
+        let retry_after = self.notice_wait(now);
         if now + retry_after > start.valid_until.min(now + start.deadline) {
             return Some(Input::Reject { id, reason: reason::Reason::Late, retry_after });
         }
@@ -115,7 +125,7 @@
         if self.running.len() >= self.batch {
             return None;
         }
-        if !self.rates.allows(&self.engine.vm, ENGINE_START, now) {
+        if self.is_held(now) {
             return None;
         }
         let item = self.queue.pop()?;
@@ -127,12 +137,16 @@
         Some(Input::Dispatch(item.id))
     }
 
-    /// Whether to start a timer for the next dispatch, as the engine's rate limit holds attempts back. The
+    /// Whether what the engine said of itself forbids a dispatch now.
+    fn is_held(&mut self, now: unit::Millis) -> bool {
+        now < self.closed_until || !self.rates.allows(&self.engine.vm, ENGINE_START, now)
+    }
+
+    /// Whether to start a timer for the next dispatch, as attempts are held back. The
     /// timer ends with [`Scheduler::end_recheck`].
     pub fn start_recheck(&mut self, now: unit::Millis) -> bool {
-        let is_held = self.queue.waiting() > 0
-            && self.running.len() < self.batch
-            && !self.rates.allows(&self.engine.vm, ENGINE_START, now);
+        let is_held =
+            self.queue.waiting() > 0 && self.running.len() < self.batch && self.is_held(now);
         is_held && !std::mem::replace(&mut self.recheck_pending, true)
     }
 
@@ -161,12 +175,13 @@
     }
 
     /// Returns the load for the next heartbeat.
-    pub fn load(&self) -> message::Load {
+    pub fn load(&mut self, now: unit::Millis) -> message::Load {
+        let wait = self.queue.backlog().max(self.notice_wait(now));
         let count = |n: usize| u16::try_from(n).unwrap_or(u16::MAX);
         message::Load {
             waiting: count(self.queue.waiting()),
             running: count(self.running.len()),
-            queued_ms: u32::try_from(self.queue.backlog().get()).unwrap_or(u32::MAX),
+            queued_ms: u32::try_from(wait.get()).unwrap_or(u32::MAX),
             ..message::Load::default()
         }
     }
--- a/crates/agateflowd/tests/notice.rs
+++ b/crates/agateflowd/tests/notice.rs
@@ -42,3 +42,28 @@
         assert!(*took < Duration::from_secs(1), "refused after {took:?}");
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn engine_that_asks_for_rest_gets_nothing_until_its_end() {
+    let fleet = Fleet::start(Plan::new().with_engines(1)).await;
+    let engine = &fleet.engines[0];
+    engine.host().faults().refuse(true);
+    engine.host().faults().announce("retry-after", "2");
+    fleet.send(0, Call::chat("first", 5, false)).await;
+    engine.host().faults().clear();
+    let start = Instant::now();
+
+    let hurried = Call::chat("hurried", 5, false).with_header("agateflow-timeout-ms", "1000");
+    let hurried = fleet.send(0, hurried).await;
+    let refused_after = start.elapsed();
+    let patient = Call::chat("patient", 5, false).with_header("agateflow-timeout-ms", "8000");
+    let patient = fleet.send(0, patient).await;
+    let served_after = start.elapsed();
+
+    assert_eq!(testenv::outcome(&hurried).as_deref(), Some("not-run"));
+    assert!(hurried.headers().contains_key("retry-after"));
+    assert!(refused_after < Duration::from_millis(500), "refused after {refused_after:?}");
+    assert_eq!(patient.status(), StatusCode::OK);
+    assert!(served_after > Duration::from_millis(1_800), "served after {served_after:?}");
+    assert_eq!(engine.counters().started, 1);
+}
