Send an engine of the former data path nothing after it says that it leaves

The test failed before. Attempts are refused at once until the engine's port refuses a connection, or for 30 s.

--- a/crates/agateflowd/src/upstream/attempt.rs
+++ b/crates/agateflowd/src/upstream/attempt.rs
@@ -402,6 +402,15 @@
     }
 }
 
+/// Lets attempts pass again once an engine that said it leaves has ended.
+pub async fn check_leaving_engine(shared: &Arc<Shared>) {
+    let is_leaving = shared.attempts.state().scheduler.is_engine_leaving();
+    if is_leaving && shared.backend.has_ended().await {
+        shared.attempts.state().scheduler.record_engine_end();
+        dispatch_queued(shared);
+    }
+}
+
 async fn call_engine(shared: &Shared, start: &frame::Start, sender: &Sender) -> Ending {
     let sent_at = clock::now();
     let response = match shared.backend.call(start).await {
--- a/crates/agateflowd/src/upstream/backend.rs
+++ b/crates/agateflowd/src/upstream/backend.rs
@@ -9,6 +9,8 @@
 use agateflow::wire::frame;
 use bytes::Bytes;
 use http::header;
+use tokio::net::TcpStream;
+use tokio::time;
 use volo_http::body::Body;
 use volo_http::client::Client;
 use volo_http::error::ClientError;
@@ -29,6 +31,9 @@
 /// Response header with the requests per second that the engine accepts, if limited.
 const RATE_LIMIT_HEADER: &str = "agateflow-rate-limit";
 
+/// Response header, `1` if the engine is shutting down.
+const LEAVING_HEADER: &str = "agateflow-leaving";
+
 /// Shorter than the idle timeout of common servers.
 const POOL_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 
@@ -85,6 +90,12 @@
         self.address
     }
 
+    /// Whether the engine or service refuses connections.
+    pub async fn has_ended(&self) -> bool {
+        let connected = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address)).await;
+        matches!(connected, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused)
+    }
+
     /// Sends the request of `start` and awaits the response head.
     ///
     /// # Errors
@@ -138,7 +149,7 @@
     Notice {
         rate_limit: text(RATE_LIMIT_HEADER).and_then(|limit| limit.parse().ok()),
         rest: retry_after::parse(headers).filter(|_| is_refusal),
-        leaving: false,
+        leaving: text(LEAVING_HEADER) == Some("1"),
     }
 }
 
@@ -156,7 +167,7 @@
 
 /// Whether the header is addressed to the upstream process.
 fn is_notice(name: &http::HeaderName) -> bool {
-    name.as_str() == RATE_LIMIT_HEADER
+    [RATE_LIMIT_HEADER, LEAVING_HEADER].contains(&name.as_str())
 }
 
 /// Whether the header applies to a single connection (RFC 9110, section 7.6.1).
--- a/crates/agateflowd/src/upstream/mod.rs
+++ b/crates/agateflowd/src/upstream/mod.rs
@@ -191,6 +191,7 @@
             _ = stopped.wait_for(|stop| *stop) => return,
         }
         attempt::process(&shared, Input::Tick, None).await;
+        attempt::check_leaving_engine(&shared).await;
         shared.members.set_load(shared.attempts.load());
     }
 }
--- a/crates/agateflowd/src/upstream/scheduler.rs
+++ b/crates/agateflowd/src/upstream/scheduler.rs
@@ -27,6 +27,9 @@
 /// the next response.
 const ENGINE_START: u64 = 0;
 
+/// Longest time for which an engine that leaves is awaited to end.
+const MAX_LEAVING_TIME: unit::Millis = unit::Millis::new(30_000);
+
 /// An attempt that was dispatched to the engine.
 struct Running {
     tokens: unit::Tokens,
@@ -42,8 +45,9 @@
     engine: Incarnation,
     rates: rate::Register,
     recheck_pending: bool,
-    /// Until when the engine accepts no requests, as it asked for rest.
+    /// Until when the engine accepts no requests, as it asked for rest or leaves.
     closed_until: unit::Millis,
+    leaving: bool,
 }
 
 impl Scheduler {
@@ -62,6 +66,7 @@
             rates,
             recheck_pending: false,
             closed_until: unit::Millis::ZERO,
+            leaving: false,
         }
     }
 
@@ -73,10 +78,25 @@
         sent_at: unit::Millis,
         now: unit::Millis,
     ) -> bool {
-        self.closed_until = self.closed_until.max(now + notice.rest.unwrap_or_default());
+        let leaving_time = notice.leaving.then_some(MAX_LEAVING_TIME);
+        let closed_for = leaving_time.max(notice.rest).unwrap_or_default();
+        self.closed_until = self.closed_until.max(now + closed_for);
+        self.leaving |= notice.leaving;
         self.rates.record_limit(&self.engine, notice.rate_limit, sent_at, now)
     }
 
+    /// Whether the engine said that it leaves and has not been seen to end.
+    pub const fn is_engine_leaving(&self) -> bool {
+        self.leaving
+    }
+
+    /// Records that the engine has ended: what it said holds no longer.
+    pub fn record_engine_end(&mut self) {
+        self.leaving = false;
+        self.closed_until = unit::Millis::ZERO;
+        self.rates = rate::Register::new();
+    }
+
     /// Time until an attempt behind those that wait can be dispatched, by what the engine said.
     fn notice_wait(&mut self, now: unit::Millis) -> unit::Millis {
         self.closed_until.saturating_sub(now).max(self.rate_wait())
--- a/crates/agateflowd/tests/notice.rs
+++ b/crates/agateflowd/tests/notice.rs
@@ -67,3 +67,26 @@
     assert!(served_after > Duration::from_millis(1_800), "served after {served_after:?}");
     assert_eq!(engine.counters().started, 1);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn engine_that_leaves_gets_nothing_until_it_has_started_again() {
+    let fleet = Fleet::start(Plan::new().with_engines(1)).await;
+    let engine = &fleet.engines[0];
+    engine.host().faults().announce("agateflow-leaving", "1");
+    let first = fleet.send(0, Call::chat("first", 5, false)).await;
+    engine.host().faults().clear();
+
+    let refused = Call::chat("second", 5, false).with_header("agateflow-timeout-ms", "2000");
+    let refused = fleet.send(0, refused).await;
+    let started_before = engine.counters().started;
+    engine.host().crash();
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    engine.host().restart().unwrap();
+    let last = fleet.send(0, Call::chat("third", 5, false)).await;
+
+    assert_eq!(first.status(), StatusCode::OK);
+    assert!(!first.headers().contains_key("agateflow-leaving"));
+    assert_eq!(testenv::outcome(&refused).as_deref(), Some("not-run"));
+    assert_eq!(started_before, 1);
+    assert_eq!(last.status(), StatusCode::OK);
+}
