Name crash attribution and quarantine by their usual terms

direct::culprit is direct::quarantine, verdict is attribution, a Conviction is an Exclusion, a Case a Candidate, and an adapter's Verdict a Classification. Event 716 is worded anew; the metric agateflow_convictions_total keeps its name. Only names and words change.

--- a/crates/agateflow/src/direct/mod.rs
+++ b/crates/agateflow/src/direct/mod.rs
@@ -4,7 +4,6 @@
 pub mod attempt;
 pub mod budget;
 pub mod config;
-pub mod culprit;
 pub mod directory;
 pub mod events;
 pub mod group;
@@ -13,6 +12,7 @@
 pub mod outage;
 pub mod peer;
 pub mod progress;
+pub mod quarantine;
 pub mod queue;
 pub mod rate;
 pub mod share;
--- a/crates/agateflow/src/direct/peer.rs
+++ b/crates/agateflow/src/direct/peer.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::directory::{Incarnation, Revision, Upstream};
-use super::{config, culprit, group, rate, suspect};
+use super::{config, group, quarantine, rate, suspect};
 use crate::lockstep::agent;
 use crate::lockstep::report::{Plan, Status};
 use crate::{id, unit};
@@ -86,7 +86,7 @@
     /// Crashes that it recently saw or heard of.
     pub crashes: Vec<suspect::Crash>,
     /// Evidence on parts of prompts that may crash upstreams.
-    pub evidence: Vec<culprit::Item>,
+    pub evidence: Vec<quarantine::Item>,
     /// Addresses of some entries that it knows.
     pub known: Vec<SocketAddr>,
 }
--- a/crates/agateflow/src/direct/culprit/verdict.rs
+++ b/crates/agateflow/src/direct/quarantine/attribution.rs
@@ -1,32 +1,32 @@
 //! Which parts explain the known crashes.
 //!
 //! Popular parts are in flight at the same crashes as the part that causes them. So the part with the
-//! most crashes is convicted first, and what it explains counts against no other. Parts that were
-//! named by the same crashes are convicted together, which refuses only requests with all of them.
+//! most crashes is quarantined first, and what it explains counts against no other. Parts that were
+//! named by the same crashes are quarantined together, which refuses only requests with all of them.
 
 use indexmap::{IndexMap, IndexSet};
 
-use super::{Conviction, Evidence, LIFETIME, Part};
+use super::{Evidence, Exclusion, LIFETIME, Part};
 use crate::direct::suspect::Incarnation;
 use crate::unit;
 
-/// Separate crashes that convict a part that was answered before.
+/// Separate crashes that quarantine a part that was answered before.
 const MIN_CRASHES_IF_ANSWERED: usize = 3;
 
 /// The same for a part that was never answered.
 const MIN_CRASHES: usize = 2;
 
-/// Crashes from which parts that they do not tell apart are convicted one by one: refusing only
+/// Crashes from which parts that they do not tell apart are quarantined one by one: refusing only
 /// requests with all of them did not end the crashes.
 const MIN_CRASHES_IF_TIED: usize = 3;
 
 /// Crashes closer together than this may have one cause.
 const MOMENT: unit::Millis = unit::Millis::new(250);
 
-/// Duration of a conviction by one crash; it doubles with each further one.
+/// Duration of an exclusion by one crash; it doubles with each further one.
 const MIN_DURATION: unit::Millis = unit::Millis::new(30_000);
 
-/// Longest conviction.
+/// Longest exclusion.
 const MAX_DURATION: unit::Millis = LIFETIME;
 
 /// What is known of a part in one crash.
@@ -62,15 +62,15 @@
     suspects: usize,
 }
 
-/// Case against one part.
+/// A part that may cause crashes.
 #[derive(Clone, Debug)]
-struct Case {
+struct Candidate {
     part: Part,
     min_crashes: usize,
     observations: Vec<Observation>,
 }
 
-impl Case {
+impl Candidate {
     /// Number of separate crashes that `explained` does not hold.
     ///
     /// A failed rack or a cut ends many upstreams at once: only a request sent after the crash before
@@ -102,48 +102,50 @@
     }
 
     fn is_in_same_crashes(&self, other: &Self) -> bool {
-        let crashes = |case: &Self| -> IndexSet<Incarnation> {
-            case.observations.iter().map(|seen| seen.crash).collect()
+        let crashes = |candidate: &Self| -> IndexSet<Incarnation> {
+            candidate.observations.iter().map(|seen| seen.crash).collect()
         };
         crashes(self) == crashes(other)
     }
 
-    /// Convicts the part, with those in `cases` that the crashes do not tell apart from it.
-    fn convict(&self, cases: &[Case]) -> Conviction {
+    /// Quarantines the part, with those in `candidates` that the crashes do not tell apart from it.
+    fn exclude(&self, candidates: &[Candidate]) -> Exclusion {
         let crashes = self.count(&IndexSet::new());
-        let is_tied = |case: &&Case| {
+        let is_tied = |candidate: &&Candidate| {
             crashes < MIN_CRASHES_IF_TIED
-                && case.min_crashes == self.min_crashes
-                && case.is_in_same_crashes(self)
+                && candidate.min_crashes == self.min_crashes
+                && candidate.is_in_same_crashes(self)
         };
-        let tied = cases.iter().filter(|case| case.part == self.part || is_tied(case));
+        let tied =
+            candidates.iter().filter(|candidate| candidate.part == self.part || is_tied(candidate));
         let last = self.observations.iter().map(|seen| seen.expires).max().unwrap_or_default();
         let repeats = (crashes - 1).min(usize::BITS as usize / 2);
         let duration = unit::Millis::new(MIN_DURATION.get() << repeats).min(MAX_DURATION);
         let until = (last + duration).saturating_sub(LIFETIME);
-        Conviction { parts: tied.map(|case| case.part).collect(), crashes, until }
+        Exclusion { parts: tied.map(|candidate| candidate.part).collect(), crashes, until }
     }
 }
 
-/// Convicts the fewest parts that explain the crashes. `is_answered` tells which parts this entry saw
+/// Quarantines the fewest parts that explain the crashes. `is_answered` tells which parts this entry saw
 /// answered.
-pub fn convict(crashes: &Crashes, is_answered: impl Fn(Part) -> bool) -> Vec<Conviction> {
+pub fn attribute(crashes: &Crashes, is_answered: impl Fn(Part) -> bool) -> Vec<Exclusion> {
     let answered = answered_parts(crashes, is_answered);
-    let cases = build_cases(crashes, &answered);
-    let mut convictions: Vec<Conviction> = Vec::new();
+    let candidates = build_candidates(crashes, &answered);
+    let mut exclusions: Vec<Exclusion> = Vec::new();
     let mut explained = IndexSet::new();
-    while let Some(case) = strongest(&cases, &explained) {
-        explained.extend(case.observations.iter().map(|seen| seen.crash));
-        convictions.push(case.convict(&cases));
+    while let Some(candidate) = strongest(&candidates, &explained) {
+        explained.extend(candidate.observations.iter().map(|seen| seen.crash));
+        exclusions.push(candidate.exclude(&candidates));
     }
-    for case in cases.iter().filter(|case| case.min_crashes <= MIN_CRASHES) {
+    for candidate in candidates.iter().filter(|candidate| candidate.min_crashes <= MIN_CRASHES) {
         // Two parts that crash upstreams may meet in one crash.
-        let is_proven = case.count(&IndexSet::new()) >= MIN_CRASHES && case.count(&explained) > 0;
-        if is_proven && !convictions.iter().any(|known| known.parts.contains(&case.part)) {
-            convictions.push(case.convict(&cases));
+        let is_certain =
+            candidate.count(&IndexSet::new()) >= MIN_CRASHES && candidate.count(&explained) > 0;
+        if is_certain && !exclusions.iter().any(|known| known.parts.contains(&candidate.part)) {
+            exclusions.push(candidate.exclude(&candidates));
         }
     }
-    convictions
+    exclusions
 }
 
 fn answered_parts(crashes: &Crashes, is_answered: impl Fn(Part) -> bool) -> IndexSet<Part> {
@@ -153,28 +155,28 @@
     answered.map(|(&part, _)| part).collect()
 }
 
-/// The cases, sorted by part.
-fn build_cases(crashes: &Crashes, answered: &IndexSet<Part>) -> Vec<Case> {
+/// The candidates, sorted by part.
+fn build_candidates(crashes: &Crashes, answered: &IndexSet<Part>) -> Vec<Candidate> {
     let mut observations: IndexMap<Part, Vec<Observation>> = IndexMap::new();
     for (&crash, Crash { expires, parts }) in crashes {
-        let is_accused = |role: &Role| role.evidence < Evidence::AnsweredSince;
+        let may_be_cause = |role: &Role| role.evidence < Evidence::AnsweredSince;
         let suspects = parts.keys().filter(|part| !answered.contains(*part)).count().max(1);
-        for (&part, &role) in parts.iter().filter(|(_, role)| is_accused(role)) {
+        for (&part, &role) in parts.iter().filter(|(_, role)| may_be_cause(role)) {
             let seen = Observation { crash, expires: *expires, role, suspects };
             observations.entry(part).or_default().push(seen);
         }
     }
     observations.sort_unstable_keys();
-    let case = |(part, mut observations): (Part, Vec<Observation>)| {
+    let candidate = |(part, mut observations): (Part, Vec<Observation>)| {
         observations.sort_by_key(|seen| (seen.expires, seen.crash));
         let min_crashes = match answered.contains(&part) {
             true => MIN_CRASHES_IF_ANSWERED,
             false if observations.iter().any(|seen| is_lone(part, seen, crashes)) => 1,
             false => MIN_CRASHES,
         };
-        Case { part, min_crashes, observations }
+        Candidate { part, min_crashes, observations }
     };
-    observations.into_iter().map(case).collect()
+    observations.into_iter().map(candidate).collect()
 }
 
 /// Whether all crashes of the moment name the part. A failed rack ends upstreams with different
@@ -187,14 +189,17 @@
     crashes.values().filter(is_near).all(|crash| crash.parts.contains_key(&part))
 }
 
-/// The case with the most unexplained crashes, if they prove it.
-fn strongest<'a>(cases: &'a [Case], explained: &IndexSet<Incarnation>) -> Option<&'a Case> {
-    let counted = cases.iter().map(|case| (case.count(explained), case));
-    let proven = counted.filter(|(count, case)| *count >= case.min_crashes);
-    let by_strength = |a: &(usize, &Case), b: &(usize, &Case)| {
+/// The part with the most unexplained crashes, if they suffice.
+fn strongest<'a>(
+    candidates: &'a [Candidate],
+    explained: &IndexSet<Incarnation>,
+) -> Option<&'a Candidate> {
+    let counted = candidates.iter().map(|candidate| (candidate.count(explained), candidate));
+    let sufficient = counted.filter(|(count, candidate)| *count >= candidate.min_crashes);
+    let by_strength = |a: &(usize, &Candidate), b: &(usize, &Candidate)| {
         let by_count = a.0.cmp(&b.0).then(b.1.min_crashes.cmp(&a.1.min_crashes));
         let by_weight = a.1.weight(explained).total_cmp(&b.1.weight(explained));
         by_count.then(by_weight).then(b.1.part.cmp(&a.1.part))
     };
-    proven.max_by(by_strength).map(|(_, case)| case)
+    sufficient.max_by(by_strength).map(|(_, candidate)| candidate)
 }
--- a/crates/agateflow/src/direct/culprit/mod.rs
+++ b/crates/agateflow/src/direct/quarantine/mod.rs
@@ -2,12 +2,12 @@
 //!
 //! Requests with such a part are alike in nothing else, and sound requests share their other parts.
 //! So each crash names the parts of all requests that the upstream had not begun to answer, and a
-//! part is convicted once it alone explains several crashes. Parts that were answered since a crash
+//! part is quarantined once it alone explains several crashes. Parts that were answered since a crash
 //! did not cause it. Entries exchange what they see as [`Item`]s.
 
 mod answers;
+mod attribution;
 mod register;
-mod verdict;
 
 use std::fmt;
 
@@ -72,7 +72,7 @@
 
 /// Parts whose requests are refused.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Conviction {
+pub struct Exclusion {
     /// The parts. Where the crashes do not tell several of them apart, only requests with all of
     /// them are refused.
     pub parts: Box<[Part]>,
@@ -82,14 +82,14 @@
     pub until: unit::Millis,
 }
 
-impl Conviction {
+impl Exclusion {
     /// Whether it applies to a request with `parts`.
     pub fn applies_to(&self, parts: &[Part]) -> bool {
         self.parts.iter().all(|part| parts.contains(part))
     }
 }
 
-impl fmt::Display for Conviction {
+impl fmt::Display for Exclusion {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let parts: Vec<String> = self.parts.iter().map(ToString::to_string).collect();
         f.write_str(&parts.join(" "))
--- a/crates/agateflow/src/direct/culprit/register.rs
+++ b/crates/agateflow/src/direct/quarantine/register.rs
@@ -3,8 +3,8 @@
 use indexmap::IndexMap;
 
 use super::answers::Answers;
-use super::verdict::{self, Crash, Crashes, Role};
-use super::{Conviction, Evidence, Item, LIFETIME, Part};
+use super::attribution::{self, Crash, Crashes, Role};
+use super::{Evidence, Exclusion, Item, LIFETIME, Part};
 use crate::direct::suspect::Incarnation;
 use crate::unit;
 
@@ -28,7 +28,7 @@
 pub struct Register {
     crashes: Crashes,
     answers: Answers,
-    convictions: Vec<Conviction>,
+    exclusions: Vec<Exclusion>,
     /// Items to send, and how often.
     news: IndexMap<(Incarnation, Part), u32>,
     next_repeated: usize,
@@ -42,14 +42,14 @@
     }
 
     /// Records that `crash` ended an upstream before it began to answer a request with `parts`, which
-    /// it got `run_time` ago. Returns new convictions.
+    /// it got `run_time` ago. Returns new exclusions.
     pub fn record_crash(
         &mut self,
         crash: Incarnation,
         parts: &[Part],
         run_time: unit::Millis,
         now: unit::Millis,
-    ) -> Vec<Conviction> {
+    ) -> Vec<Exclusion> {
         let mut sorted: Vec<(Evidence, Part)> =
             parts.iter().map(|&part| (self.own_evidence(part, now, now), part)).collect();
         sorted.sort_unstable();
@@ -60,12 +60,12 @@
                 self.news.insert((crash, part), SENDS);
             }
         }
-        self.judge(now)
+        self.update_exclusions(now)
     }
 
-    /// Records that a request with `parts` was answered. Returns new convictions: what a cleared part
+    /// Records that a request with `parts` was answered. Returns new exclusions: what a cleared part
     /// seemed to explain may point to another one.
-    pub fn record_answer(&mut self, parts: &[Part], now: unit::Millis) -> Vec<Conviction> {
+    pub fn record_answer(&mut self, parts: &[Part], now: unit::Millis) -> Vec<Exclusion> {
         let mut cleared = false;
         for &part in parts {
             self.answers.record(part, now);
@@ -78,11 +78,11 @@
                 }
             }
         }
-        if cleared { self.judge(now) } else { Vec::new() }
+        if cleared { self.update_exclusions(now) } else { Vec::new() }
     }
 
-    /// Merges items of another entry. Returns new convictions.
-    pub fn merge(&mut self, items: &[Item], now: unit::Millis) -> Vec<Conviction> {
+    /// Merges items of another entry. Returns new exclusions.
+    pub fn merge(&mut self, items: &[Item], now: unit::Millis) -> Vec<Exclusion> {
         let mut changed = false;
         for item in items {
             let expires = now + item.ttl.min(LIFETIME);
@@ -94,7 +94,7 @@
                 self.news.entry((item.crash, item.part)).or_insert(SENDS);
             }
         }
-        if changed { self.judge(now) } else { Vec::new() }
+        if changed { self.update_exclusions(now) } else { Vec::new() }
     }
 
     /// The last crash with `part` that expires by `before`.
@@ -147,27 +147,27 @@
         changed
     }
 
-    /// Drops expired crashes, convicts anew and returns the parts that were not convicted before.
-    fn judge(&mut self, now: unit::Millis) -> Vec<Conviction> {
+    /// Drops expired crashes, quarantines anew and returns the parts that were not quarantined before.
+    fn update_exclusions(&mut self, now: unit::Millis) -> Vec<Exclusion> {
         self.crashes.retain(|_, crash| now < crash.expires);
         let crashes = &self.crashes;
         self.news.retain(|(crash, _), _| crashes.contains_key(crash));
         let is_answered = |part| self.answers.last(part, now).is_some();
-        let convictions = verdict::convict(&self.crashes, is_answered);
-        let is_new = |conviction: &&Conviction| {
-            let mut before = self.convictions.iter();
-            now < conviction.until
-                && !before.any(|known| known.parts == conviction.parts && now < known.until)
+        let exclusions = attribution::attribute(&self.crashes, is_answered);
+        let is_new = |exclusion: &&Exclusion| {
+            let mut before = self.exclusions.iter();
+            now < exclusion.until
+                && !before.any(|known| known.parts == exclusion.parts && now < known.until)
         };
-        let new = convictions.iter().filter(is_new).cloned().collect();
-        self.convictions = convictions;
+        let new = exclusions.iter().filter(is_new).cloned().collect();
+        self.exclusions = exclusions;
         new
     }
 
-    /// The conviction because of which a request with `parts` is refused.
-    pub fn conviction(&self, parts: &[Part], now: unit::Millis) -> Option<&Conviction> {
-        let current = self.convictions.iter().filter(|conviction| now < conviction.until);
-        current.filter(|conviction| conviction.applies_to(parts)).max_by_key(|c| c.until)
+    /// The exclusion because of which a request with `parts` is refused.
+    pub fn exclusion(&self, parts: &[Part], now: unit::Millis) -> Option<&Exclusion> {
+        let current = self.exclusions.iter().filter(|exclusion| now < exclusion.until);
+        current.filter(|exclusion| exclusion.applies_to(parts)).max_by_key(|c| c.until)
     }
 
     /// Whether there is evidence that other entries have not been sent.
--- a/crates/agateflow/src/event.rs
+++ b/crates/agateflow/src/event.rs
@@ -147,8 +147,8 @@
     714 GroupStalled Warning "group of ranks stalled";
     /// An upstream broke off before it answered a request, which may have crashed it.
     715 CrashRecorded Warning "crash recorded against a request";
-    /// A part of prompts is convicted of crashing upstreams; requests with it are refused.
-    716 PartConvicted Warning "part of prompts convicted of crashes";
+    /// A part of prompts is quarantined, as it crashes upstreams; requests with it are refused.
+    716 PartQuarantined Warning "part of prompts quarantined";
     /// An upstream that broke off still accepts connections, so it did not crash.
     717 UpstreamAlive Info "upstream alive after it broke off";
     /// An upstream named another request rate limit in a response, or none any more, as this entry or
--- a/crates/agateflow/tests/culprit.rs
+++ b/crates/agateflow/tests/quarantine.rs
@@ -1,9 +1,9 @@
-//! Conviction of prompt parts that crash upstreams, and protection of the parts that do not.
+//! Exclusion of prompt parts that crash upstreams, and protection of the parts that do not.
 
 #![allow(clippy::unwrap_used)]
 
-use agateflow::direct::culprit::{Conviction, Evidence, Item, LIFETIME, Part, Register};
 use agateflow::direct::progress::Progress;
+use agateflow::direct::quarantine::{Evidence, Exclusion, Item, LIFETIME, Part, Register};
 use agateflow::direct::suspect::Incarnation;
 use agateflow::unit::Millis;
 use proptest::prelude::*;
@@ -29,12 +29,12 @@
 const RUN_TIME: Millis = Millis::new(60);
 
 /// Plays lines `TIME crash NUMBER PARTS` and `TIME answer PARTS`.
-fn play(register: &mut Register, script: &str) -> Vec<Conviction> {
-    let mut convictions = Vec::new();
+fn play(register: &mut Register, script: &str) -> Vec<Exclusion> {
+    let mut exclusions = Vec::new();
     for line in script.lines().map(str::trim).filter(|line| !line.is_empty()) {
         let words: Vec<&str> = line.split_whitespace().collect();
         let now = ms(words[0].parse().unwrap());
-        convictions.extend(match words[1] {
+        exclusions.extend(match words[1] {
             "crash" => {
                 let incarnation = crash(words[2].parse().unwrap());
                 register.record_crash(incarnation, &parts(&words[3..].join(" ")), RUN_TIME, now)
@@ -43,11 +43,11 @@
             other => panic!("{other}"),
         });
     }
-    convictions
+    exclusions
 }
 
 fn is_refused(register: &Register, names: &str, now: u64) -> bool {
-    register.conviction(&parts(names), ms(now)).is_some()
+    register.exclusion(&parts(names), ms(now)).is_some()
 }
 
 #[rstest]
@@ -72,7 +72,10 @@
     9000 crash 3 deadly",
     true
 )]
-fn part_is_convicted_by_separate_unanswered_crashes(#[case] script: &str, #[case] expected: bool) {
+fn part_is_quarantined_by_separate_unanswered_crashes(
+    #[case] script: &str,
+    #[case] expected: bool,
+) {
     let mut register = Register::new();
 
     play(&mut register, script);
@@ -87,7 +90,7 @@
 #[case::beside_another("1000 crash 1 deadly\n 1001 crash 1 rare", false)]
 #[case::in_a_failed_rack("1000 crash 1 deadly\n 1200 crash 2 other new", false)]
 #[case::answered_before("500 answer deadly\n 1000 crash 1 deadly", false)]
-fn only_part_that_was_never_answered_is_convicted_by_one_crash(
+fn only_part_that_was_never_answered_is_quarantined_by_one_crash(
     #[case] script: &str,
     #[case] expected: bool,
 ) {
@@ -101,7 +104,7 @@
 }
 
 #[test]
-fn popular_part_that_was_at_one_crash_of_each_of_two_deadly_parts_is_not_convicted() {
+fn popular_part_that_was_at_one_crash_of_each_of_two_deadly_parts_is_not_quarantined() {
     let mut register = Register::new();
 
     play(
@@ -118,7 +121,7 @@
 }
 
 #[test]
-fn two_deadly_parts_that_meet_in_one_crash_are_both_convicted() {
+fn two_deadly_parts_that_meet_in_one_crash_are_both_quarantined() {
     let mut register = Register::new();
 
     play(
@@ -134,10 +137,10 @@
 }
 
 #[test]
-fn popular_parts_in_flight_at_the_same_crashes_are_not_convicted() {
+fn popular_parts_in_flight_at_the_same_crashes_are_not_quarantined() {
     let mut register = Register::new();
 
-    let convictions = play(
+    let exclusions = play(
         &mut register,
         "500 answer team popular
         1000 crash 1 team deadly
@@ -148,7 +151,7 @@
         9001 crash 3 team rare",
     );
 
-    assert!(convictions.iter().all(|known| known.parts.contains(&part("deadly"))));
+    assert!(exclusions.iter().all(|known| known.parts.contains(&part("deadly"))));
     assert!(is_refused(&register, "deadly", 9_500));
     assert!(!is_refused(&register, "team popular rare", 9_500));
 }
@@ -182,7 +185,7 @@
 }
 
 #[test]
-fn wrong_conviction_ends_when_another_part_explains_more_crashes() {
+fn wrong_exclusion_ends_when_another_part_explains_more_crashes() {
     let mut register = Register::new();
     play(&mut register, "1000 crash 1 rare deadly\n 5000 crash 2 deadly rare");
     assert!(is_refused(&register, "rare deadly", 5_100));
@@ -194,7 +197,7 @@
 }
 
 #[test]
-fn two_deadly_parts_at_once_are_both_convicted() {
+fn two_deadly_parts_at_once_are_both_quarantined() {
     let mut register = Register::new();
 
     play(
@@ -212,7 +215,7 @@
 }
 
 #[test]
-fn part_that_crashes_again_after_its_conviction_is_refused_at_once_and_for_longer() {
+fn part_that_crashes_again_after_its_exclusion_is_refused_at_once_and_for_longer() {
     let mut register = Register::new();
     play(&mut register, "1000 crash 1 deadly\n 5000 crash 2 deadly");
     assert!(is_refused(&register, "deadly", 64_900));
@@ -226,7 +229,7 @@
 }
 
 #[test]
-fn part_that_was_answered_after_its_conviction_is_free() {
+fn part_that_was_answered_after_its_exclusion_is_free() {
     let mut register = Register::new();
     play(&mut register, "1000 crash 1 part\n 5000 crash 2 part");
 
@@ -236,7 +239,7 @@
 }
 
 #[test]
-fn popular_part_is_not_convicted_by_the_crashes_of_a_long_time() {
+fn popular_part_is_not_quarantined_by_the_crashes_of_a_long_time() {
     let mut register = Register::new();
 
     for number in 1..60 {
@@ -272,7 +275,7 @@
 }
 
 #[test]
-fn request_sent_again_at_once_is_convicted_at_entries_whose_clocks_differ() {
+fn request_sent_again_at_once_is_quarantined_at_entries_whose_clocks_differ() {
     let (mut sender, mut other) = (Register::new(), Register::new());
     play(&mut sender, "1000 crash 1 deadly");
     let first = sender.take_items(64, ms(1_000));
@@ -300,7 +303,7 @@
 }
 
 #[test]
-fn entry_that_starts_later_learns_convictions_from_repeated_items() {
+fn entry_that_starts_later_learns_exclusions_from_repeated_items() {
     let mut old = Register::new();
     play(&mut old, "1000 crash 1 team deadly\n 5000 crash 2 team deadly\n 5100 answer team");
     for now in 0..20 {
@@ -414,12 +417,12 @@
         for name in names {
             let at = ms(700_000);
             prop_assert_eq!(
-                ordered.conviction(&[part(name)], at),
-                shuffled.conviction(&[part(name)], at)
+                ordered.exclusion(&[part(name)], at),
+                shuffled.exclusion(&[part(name)], at)
             );
             prop_assert_eq!(
-                ordered.conviction(&parts("a b c d e"), at),
-                shuffled.conviction(&parts("a b c d e"), at)
+                ordered.exclusion(&parts("a b c d e"), at),
+                shuffled.exclusion(&parts("a b c d e"), at)
             );
         }
     }
--- a/crates/agateflow/tests/culprit_play.rs
+++ b/crates/agateflow/tests/quarantine_play.rs
@@ -3,7 +3,7 @@
 
 #![allow(clippy::unwrap_used)]
 
-use agateflow::direct::culprit::{Part, Register};
+use agateflow::direct::quarantine::{Part, Register};
 use agateflow::direct::suspect::Incarnation;
 use agateflow::unit::Millis;
 use rand::{Rng, SeedableRng};
@@ -58,7 +58,7 @@
     sent: Vec<Vec<u64>>,
     crashes: Vec<Vec<u64>>,
     sound: usize,
-    sound_convicted: usize,
+    sound_quarantined: usize,
 }
 
 struct Entry {
@@ -148,11 +148,11 @@
 
     fn admit(&mut self, mut request: Request, now: u64) {
         let entry = &self.entries[request.entry];
-        let is_convicted = entry.register.conviction(&request.parts, entry.now(now)).is_some();
+        let is_quarantined = entry.register.exclusion(&request.parts, entry.now(now)).is_some();
         self.outcome.sound += usize::from(request.deadly.is_none());
-        self.outcome.sound_convicted += usize::from(request.deadly.is_none() && is_convicted);
+        self.outcome.sound_quarantined += usize::from(request.deadly.is_none() && is_quarantined);
         let open: Vec<usize> = (0..self.groups).filter(|&g| self.open_from[g] <= now).collect();
-        if is_convicted {
+        if is_quarantined {
             return;
         }
         if open.is_empty() {
@@ -272,7 +272,7 @@
             let late = sent.iter().filter(|&&at| at > fifth + CONTACT_MS).count();
             assert!(late <= 3, "seed {seed}: {late} sent late, crashes {crashes:?}");
         }
-        let share = outcome.sound_convicted as f64 / outcome.sound as f64;
+        let share = outcome.sound_quarantined as f64 / outcome.sound as f64;
         assert!(share < 0.05, "seed {seed}: {share:.3} of the sound requests refused");
     }
 }
@@ -282,15 +282,18 @@
 #[case::racks(Trouble { accident_ms: 9_000, rack: 3, ..Trouble::default() })]
 #[case::flapping(Trouble { accident_ms: 4_500, rack: 1, ..Trouble::default() })]
 #[case::restarts(Trouble { accident_ms: 9_000, rack: 1, restart_ms: 700, ..Trouble::default() })]
-fn accidents_convict_almost_no_sound_part(#[case] trouble: Trouble, #[values(1, 2)] groups: usize) {
-    let (mut sound, mut convicted) = (0, 0);
+fn accidents_quarantine_almost_no_sound_part(
+    #[case] trouble: Trouble,
+    #[values(1, 2)] groups: usize,
+) {
+    let (mut sound, mut quarantined) = (0, 0);
     for seed in 1_000..1_000 + days() {
         let outcome = Day::new(seed, groups, trouble).play();
 
         sound += outcome.sound;
-        convicted += outcome.sound_convicted;
+        quarantined += outcome.sound_quarantined;
     }
 
-    let share = convicted as f64 / sound as f64;
+    let share = quarantined as f64 / sound as f64;
     assert!(share < 0.01, "{share:.4} of the sound requests refused");
 }
--- a/crates/agateflowd/src/direct/adapter.rs
+++ b/crates/agateflowd/src/direct/adapter.rs
@@ -37,7 +37,7 @@
 
 /// Classification of an upstream's response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Verdict {
+pub enum Classification {
     /// From the upstream that ran the request.
     Own,
     /// The upstream did not run the request.
@@ -68,7 +68,7 @@
     fn write_forward(&self, headers: &mut HeaderMap, forward: &Forward<'_>);
 
     /// Classifies the response to a request.
-    fn classify_response(&self, head: &response::Parts, info: &Head) -> Verdict;
+    fn classify_response(&self, head: &response::Parts, info: &Head) -> Classification;
 
     /// Reads what the upstream says of itself in a response.
     fn parse_notice(&self, head: &response::Parts) -> Notice;
--- a/crates/agateflowd/src/direct/call.rs
+++ b/crates/agateflowd/src/direct/call.rs
@@ -272,7 +272,7 @@
             Refusal::NoUpstream(retry_delay) => self.refuse("no upstream", retry_delay),
             Refusal::Resting(retry_delay) => self.refuse("upstreams ask for rest", retry_delay),
             Refusal::Busy(retry_delay) => self.refuse("no place in time", retry_delay),
-            Refusal::Convicted(retry_delay) => {
+            Refusal::Quarantined(retry_delay) => {
                 self.refuse("request crashes upstreams", retry_delay)
             }
         }
--- a/crates/agateflowd/src/direct/crash.rs
+++ b/crates/agateflowd/src/direct/crash.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use agateflow::direct::directory::Upstream;
-use agateflow::direct::{culprit, suspect};
+use agateflow::direct::{quarantine, suspect};
 use agateflow::event::Event;
 use agateflow::unit;
 use tokio::time;
@@ -68,37 +68,37 @@
             "hashes" => request.part_hashes());
         let crash = incarnation(upstream);
         let run_time = now.saturating_sub(sent_at);
-        let convictions =
-            self.culprits.borrow_mut().record_crash(crash, &request.parts, run_time, now);
+        let exclusions =
+            self.quarantine.borrow_mut().record_crash(crash, &request.parts, run_time, now);
         self.heartbeat_trigger.notify_one();
-        self.announce(&convictions);
+        self.announce(&exclusions);
     }
 
     /// Records that an upstream answered `request`.
     pub fn record_answer(&self, request: &Request) {
         let now = self.now();
-        let convictions = self.culprits.borrow_mut().record_answer(&request.parts, now);
-        self.announce(&convictions);
+        let exclusions = self.quarantine.borrow_mut().record_answer(&request.parts, now);
+        self.announce(&exclusions);
     }
 
     /// Merges the evidence of another entry.
-    pub fn merge_evidence(&self, items: &[culprit::Item]) {
+    pub fn merge_evidence(&self, items: &[quarantine::Item]) {
         let now = self.now();
-        let convictions = self.culprits.borrow_mut().merge(items, now);
-        self.announce(&convictions);
+        let exclusions = self.quarantine.borrow_mut().merge(items, now);
+        self.announce(&exclusions);
     }
 
-    /// Logs new convictions, and has the waiting requests checked again.
-    fn announce(&self, convictions: &[culprit::Conviction]) {
+    /// Logs new exclusions, and has the waiting requests checked again.
+    fn announce(&self, exclusions: &[quarantine::Exclusion]) {
         let now = self.now();
-        for conviction in convictions {
-            event!(self.logger, Event::PartConvicted; "parts" => %conviction,
-                "crashes" => conviction.crashes,
-                "duration" => %conviction.until.saturating_sub(now));
-            meter::convicted();
+        for exclusion in exclusions {
+            event!(self.logger, Event::PartQuarantined; "parts" => %exclusion,
+                "crashes" => exclusion.crashes,
+                "duration" => %exclusion.until.saturating_sub(now));
+            meter::quarantined();
         }
-        if !convictions.is_empty() {
-            self.convicted.send_replace(());
+        if !exclusions.is_empty() {
+            self.exclusions_changed.send_replace(());
         }
     }
 
@@ -116,20 +116,20 @@
         if self.suspects.borrow().is_poison(request.fingerprint, now) {
             return Some(POISON_RETRY_AFTER);
         }
-        let culprits = self.culprits.borrow();
-        let conviction = culprits.conviction(&request.parts, now)?;
-        Some(conviction.until.saturating_sub(now))
+        let quarantine = self.quarantine.borrow();
+        let exclusion = quarantine.exclusion(&request.parts, now)?;
+        Some(exclusion.until.saturating_sub(now))
     }
 
     /// Waits until `request` is refused because it crashes upstreams, and returns its `retry-after`.
     pub async fn until_refused(&self, request: &Request) -> unit::Millis {
-        let mut convicted = self.convicted.subscribe();
+        let mut changes = self.exclusions_changed.subscribe();
         loop {
             if let Some(retry_delay) = self.crash_refusal(request) {
                 return retry_delay;
             }
             // The sender lives as long as the entry.
-            let _ = convicted.changed().await;
+            let _ = changes.changed().await;
         }
     }
 }
--- a/crates/agateflowd/src/direct/entry.rs
+++ b/crates/agateflowd/src/direct/entry.rs
@@ -8,7 +8,7 @@
 use agateflow::direct::directory::{Change, Directory, Revision, Upstream};
 use agateflow::direct::group::{self, Group};
 use agateflow::direct::load::Load;
-use agateflow::direct::{budget, config, culprit, peer, rate, suspect};
+use agateflow::direct::{budget, config, peer, quarantine, rate, suspect};
 use agateflow::event::Event;
 use agateflow::{id, unit};
 use indexmap::IndexMap;
@@ -67,7 +67,7 @@
     /// Requests suspected of crashing upstreams.
     pub suspects: RefCell<suspect::Register>,
     /// Parts of prompts suspected of crashing upstreams.
-    pub culprits: RefCell<culprit::Register>,
+    pub quarantine: RefCell<quarantine::Register>,
     /// Request rate limits that upstreams named.
     pub rates: RefCell<rate::Register>,
     /// Queues and retry budgets by service.
@@ -82,8 +82,8 @@
     pub heartbeat_trigger: Notify,
     /// Whether the process is shutting down.
     pub shutting_down: watch::Sender<bool>,
-    /// Triggers a check of requests in progress after a conviction.
-    pub convicted: watch::Sender<()>,
+    /// Triggers a check of requests in progress after an exclusion.
+    pub exclusions_changed: watch::Sender<()>,
     /// Crashes to report in heartbeats.
     pub recent_crashes: RefCell<Vec<suspect::Crash>>,
     table: RefCell<Option<Rc<config::Table>>>,
@@ -105,7 +105,7 @@
             peers: RefCell::new(peers),
             agents: RefCell::default(),
             suspects: RefCell::default(),
-            culprits: RefCell::default(),
+            quarantine: RefCell::default(),
             rates: RefCell::default(),
             services: RefCell::default(),
             groups: RefCell::default(),
@@ -113,7 +113,7 @@
             rng: RefCell::new(Pcg64Mcg::from_rng(&mut rand::rng())),
             heartbeat_trigger: Notify::new(),
             shutting_down: watch::Sender::new(false),
-            convicted: watch::Sender::new(()),
+            exclusions_changed: watch::Sender::new(()),
             recent_crashes: RefCell::default(),
             table: RefCell::new(None),
             in_progress: Cell::new(0),
--- a/crates/agateflowd/src/direct/exchange.rs
+++ b/crates/agateflowd/src/direct/exchange.rs
@@ -14,7 +14,7 @@
 use hyper::body::Incoming;
 use tokio::time;
 
-use super::adapter::{Forward, Notice, Verdict};
+use super::adapter::{Classification, Forward, Notice};
 use super::call::Call;
 use super::permit::{self, Permit, Refusal};
 use super::pool;
@@ -83,7 +83,7 @@
         let permit_request = self.permit_request();
         let permit = tokio::select! {
             biased;
-            after = self.entry.until_refused(&self.request) => Err(Refusal::Convicted(after)),
+            after = self.entry.until_refused(&self.request) => Err(Refusal::Quarantined(after)),
             permit = self.entry.acquire_permit(&permit_request) => permit,
         };
         let permit = permit.map_err(Error::Refused)?;
@@ -235,13 +235,15 @@
     async fn check_response(&mut self, exchange: Exchange) -> Result<Exchange, Error> {
         let (head, body) = exchange.response.into_parts();
         let upstream = exchange.permit.upstream.clone();
-        let verdict = self.entry.dialect.classify_response(&head, &self.request.info);
-        let notice = match verdict {
-            Verdict::Own | Verdict::NotRun => self.entry.record_notice(&head, &exchange.permit),
-            Verdict::Misdirected | Verdict::Foreign => Notice::default(),
+        let classification = self.entry.dialect.classify_response(&head, &self.request.info);
+        let notice = match classification {
+            Classification::Own | Classification::NotRun => {
+                self.entry.record_notice(&head, &exchange.permit)
+            }
+            Classification::Misdirected | Classification::Foreign => Notice::default(),
         };
-        let end = match verdict {
-            Verdict::Own => {
+        let end = match classification {
+            Classification::Own => {
                 self.entry.record_activity(&upstream);
                 let response = Response::from_parts(head, body);
                 return Ok(Exchange {
@@ -250,26 +252,27 @@
                     permit: exchange.permit,
                 });
             }
-            Verdict::Misdirected => (attempt::Outcome::Misdirected, Health::Unreachable),
-            Verdict::NotRun => (attempt::Outcome::NotRun, Health::Full),
-            Verdict::Foreign => (attempt::Outcome::Broken, Health::Bad),
+            Classification::Misdirected => (attempt::Outcome::Misdirected, Health::Unreachable),
+            Classification::NotRun => (attempt::Outcome::NotRun, Health::Full),
+            Classification::Foreign => (attempt::Outcome::Broken, Health::Bad),
         };
         event!(self.entry.logger, Event::AnswerRejected; "id" => &*self.request.info.id,
             "upstream" => %upstream.vm, "status" => head.status.as_u16(),
-            "answer" => ?verdict);
-        if verdict != Verdict::Foreign && is_body_complete(body).await {
+            "answer" => ?classification);
+        if classification != Classification::Foreign && is_body_complete(body).await {
             exchange.connection.release();
         }
-        if verdict == Verdict::Misdirected || verdict == Verdict::NotRun {
+        if classification == Classification::Misdirected || classification == Classification::NotRun
+        {
             self.in_flight.set(false);
         }
-        let is_unexpected = verdict == Verdict::NotRun
+        let is_unexpected = classification == Classification::NotRun
             && notice.rest.is_none()
             && f64::from(exchange.permit.active) <= exchange.permit.limit;
         if is_unexpected {
             self.entry.record_unexpected_refusal(&upstream);
         }
-        if verdict == Verdict::Misdirected {
+        if classification == Classification::Misdirected {
             self.entry.record_replacement(&upstream);
         }
         Err(self.end_attempt(&upstream, end.0, end.1))
--- a/crates/agateflowd/src/direct/gossip.rs
+++ b/crates/agateflowd/src/direct/gossip.rs
@@ -73,7 +73,7 @@
         draining: directory.draining(),
         rates: entry.rates.borrow().reports(entry.now()),
         crashes: entry.recent_crashes(),
-        evidence: entry.culprits.borrow_mut().take_items(MAX_ITEMS, entry.now()),
+        evidence: entry.quarantine.borrow_mut().take_items(MAX_ITEMS, entry.now()),
         known: known.map(|index| present[index]).collect(),
     }
 }
@@ -108,7 +108,7 @@
     if entry.peers.borrow_mut().record_heartbeat(&heartbeat, now) {
         event!(entry.logger, Event::PeerHeard; "peer" => %heartbeat.vm,
             "address" => %heartbeat.address, "version" => heartbeat.config);
-        entry.culprits.borrow_mut().repeat_all();
+        entry.quarantine.borrow_mut().repeat_all();
         entry.heartbeat_trigger.notify_one();
     }
     for crash in &heartbeat.crashes {
--- a/crates/agateflowd/src/direct/permit.rs
+++ b/crates/agateflowd/src/direct/permit.rs
@@ -55,7 +55,7 @@
     /// The wait would be too long.
     Busy(unit::Millis),
     /// The request crashes upstreams.
-    Convicted(unit::Millis),
+    Quarantined(unit::Millis),
 }
 
 /// Permission to send a request, given back on drop.
--- a/crates/agateflowd/src/direct/request.rs
+++ b/crates/agateflowd/src/direct/request.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use agateflow::direct::{config, culprit, suspect};
+use agateflow::direct::{config, quarantine, suspect};
 use agateflow::{id, unit};
 use bytes::Bytes;
 use http::header::{
@@ -63,7 +63,7 @@
     /// Identifies repetitions of the request.
     pub fingerprint: suspect::Fingerprint,
     /// Parts of its prompt that other requests may share.
-    pub parts: Box<[culprit::Part]>,
+    pub parts: Box<[quarantine::Part]>,
 }
 
 impl Request {
@@ -143,7 +143,7 @@
     let target = head.uri.path_and_query().map_or("/", |target| target.as_str());
     let parts = info.prompt_parts.iter();
     Ok(Request {
-        parts: parts.map(|id| culprit::Part::new(service.as_str(), id.as_bytes())).collect(),
+        parts: parts.map(|id| quarantine::Part::new(service.as_str(), id.as_bytes())).collect(),
         fingerprint: suspect::Fingerprint::new(name, head.method.as_str(), target, &body),
         priority: team.as_ref().and_then(|team| team.priority).unwrap_or(route.priority),
         team: team.map(|team| team.name),
--- a/crates/agateflowd/src/entry/call.rs
+++ b/crates/agateflowd/src/entry/call.rs
@@ -2,7 +2,7 @@
 
 use agateflow::admission::{self, answer};
 use agateflow::config;
-use agateflow::direct::culprit;
+use agateflow::direct::quarantine;
 use agateflow::id;
 use agateflow::unit;
 use agateflow::wire::frame;
@@ -81,7 +81,7 @@
     /// Digest of team, method, path and body.
     pub digest: admission::Digest,
     /// Messages of the prompt without the last, which other requests may share.
-    pub parts: Box<[culprit::Part]>,
+    pub parts: Box<[quarantine::Part]>,
     /// Estimated tokens of prompt and output.
     pub tokens: unit::Tokens,
     /// How long the caller waits for the response.
@@ -182,7 +182,7 @@
     stream: bool,
     repeatable: bool,
     tokens: unit::Tokens,
-    parts: Box<[culprit::Part]>,
+    parts: Box<[quarantine::Part]>,
 }
 
 fn parse_chat(
@@ -215,11 +215,12 @@
 }
 
 /// Hashes all messages but the last. What is no list of messages is left to the engine.
-fn shared_parts(model: &id::Model, messages: Option<&RawValue>) -> Box<[culprit::Part]> {
+fn shared_parts(model: &id::Model, messages: Option<&RawValue>) -> Box<[quarantine::Part]> {
     let list = messages.map(RawValue::get).unwrap_or_default();
     let mut messages: Vec<&RawValue> = serde_json::from_str(list).unwrap_or_default();
     messages.pop();
-    let part = |message: &&RawValue| culprit::Part::new(model.as_str(), message.get().as_bytes());
+    let part =
+        |message: &&RawValue| quarantine::Part::new(model.as_str(), message.get().as_bytes());
     messages.iter().map(part).collect()
 }
 
--- a/crates/agateflowd/src/entry/driver.rs
+++ b/crates/agateflowd/src/entry/driver.rs
@@ -237,11 +237,11 @@
                     parts,
                     sent_at: attempt.sent_at,
                 };
-                for conviction in suspects.record_attempt(&crashed, now) {
-                    event!(self.shared.logger, Event::PartConvicted; "parts" => %conviction,
-                        "crashes" => conviction.crashes,
-                        "duration" => %conviction.until.saturating_sub(now));
-                    meter::convicted();
+                for exclusion in suspects.record_attempt(&crashed, now) {
+                    event!(self.shared.logger, Event::PartQuarantined; "parts" => %exclusion,
+                        "crashes" => exclusion.crashes,
+                        "duration" => %exclusion.until.saturating_sub(now));
+                    meter::quarantined();
                 }
             }
             _ => {}
--- a/crates/agateflowd/src/entry/suspects.rs
+++ b/crates/agateflowd/src/entry/suspects.rs
@@ -1,6 +1,6 @@
 //! Requests, and parts of their prompts, that crash engines, as one entry sees them.
 
-use agateflow::direct::culprit::{self, Part};
+use agateflow::direct::quarantine::{self, Part};
 use agateflow::direct::suspect::{self, Fingerprint, Incarnation};
 use agateflow::id;
 use agateflow::unit;
@@ -32,7 +32,7 @@
 #[derive(Debug)]
 pub struct Suspects {
     requests: suspect::Register,
-    parts: culprit::Register,
+    parts: quarantine::Register,
     /// Number and time of the last crash of each engine, whose upstream process lives on.
     crashes: IndexMap<id::Vm, (u64, unit::Millis)>,
 }
@@ -42,7 +42,7 @@
     pub fn new() -> Self {
         Self {
             requests: suspect::Register::new().with_max_crashes(MAX_CRASHES),
-            parts: culprit::Register::new(),
+            parts: quarantine::Register::new(),
             crashes: IndexMap::new(),
         }
     }
@@ -65,7 +65,7 @@
         &mut self,
         attempt: &Attempt<'_>,
         now: unit::Millis,
-    ) -> Vec<culprit::Conviction> {
+    ) -> Vec<quarantine::Exclusion> {
         let crash = self.crash(attempt.vm, attempt.incarnation, now);
         let run_time = now.saturating_sub(attempt.sent_at);
         self.parts.record_crash(crash, attempt.parts, run_time, now)
@@ -106,8 +106,8 @@
         if self.requests.is_poison(request, now) {
             return Some(POISON_RETRY_AFTER);
         }
-        let conviction = self.parts.conviction(parts, now)?;
-        Some(conviction.until.saturating_sub(now))
+        let exclusion = self.parts.exclusion(parts, now)?;
+        Some(exclusion.until.saturating_sub(now))
     }
 }
 
--- a/crates/agateflowd/src/meter.rs
+++ b/crates/agateflowd/src/meter.rs
@@ -29,8 +29,8 @@
 /// Requests refused, by reason.
 const REFUSALS: &str = "agateflow_refusals_total";
 
-/// Parts of prompts convicted of crashing upstreams.
-const CONVICTIONS: &str = "agateflow_convictions_total";
+/// Parts of prompts quarantined, as they crash upstreams.
+const EXCLUSIONS: &str = "agateflow_convictions_total";
 
 /// Time that a request waited before it was sent, in seconds.
 const PLACE: &str = "agateflow_place_seconds";
@@ -125,9 +125,9 @@
     counter!(REFUSALS, "service" => service.to_string(), "reason" => reason).increment(1);
 }
 
-/// Counts a conviction of a part of prompts.
-pub fn convicted() {
-    counter!(CONVICTIONS).increment(1);
+/// Counts an exclusion of a part of prompts.
+pub fn quarantined() {
+    counter!(EXCLUSIONS).increment(1);
 }
 
 /// Records the time from a request's arrival to its sending.
--- a/crates/agateflowd/tests/directenv/mod.rs
+++ b/crates/agateflowd/tests/directenv/mod.rs
@@ -14,7 +14,7 @@
 use agateflow::direct::directory::{Change, Revision, State, Upstream};
 use agateflow::id;
 use agateflow::unit::{Bytes, Millis};
-use agateflowd::direct::adapter::{Dialect, Forward, Head, Notice, Verdict};
+use agateflowd::direct::adapter::{Classification, Dialect, Forward, Head, Notice};
 use agateflowd::direct::entry::Options;
 use agateflowd::direct::{Entry, server, socket};
 use agateflowd::log;
@@ -57,13 +57,13 @@
             .insert("left", HeaderValue::from_str(&forward.time_left.get().to_string()).unwrap());
     }
 
-    fn classify_response(&self, head: &response::Parts, info: &Head) -> Verdict {
+    fn classify_response(&self, head: &response::Parts, info: &Head) -> Classification {
         match header_text(&head.headers, "id") {
-            Some(id) if id != &*info.id => Verdict::Foreign,
-            _ if head.headers.contains_key("not-run") => Verdict::NotRun,
-            _ if head.status == StatusCode::MISDIRECTED_REQUEST => Verdict::Misdirected,
-            Some(_) if head.headers.contains_key("proof") => Verdict::Own,
-            _ => Verdict::Foreign,
+            Some(id) if id != &*info.id => Classification::Foreign,
+            _ if head.headers.contains_key("not-run") => Classification::NotRun,
+            _ if head.status == StatusCode::MISDIRECTED_REQUEST => Classification::Misdirected,
+            Some(_) if head.headers.contains_key("proof") => Classification::Own,
+            _ => Classification::Foreign,
         }
     }
 
