--- a/crates/agatectl/src/check.rs
+++ b/crates/agatectl/src/check.rs
@@ -93,7 +93,7 @@
     false
 }
 
-/// Reads no more of a file than tells that it is too large.
+/// Reads a file up to the size limit and one byte more, which shows that it is too large.
 fn bytes_of(file: &str) -> io::Result<Vec<u8>> {
     let mut bytes = Vec::new();
     let limit = config::MAX_BYTES as u64 + 1;
--- a/crates/agatectl/src/demo/balancer.rs
+++ b/crates/agatectl/src/demo/balancer.rs
@@ -7,7 +7,7 @@
 use crate::error::Error;
 use crate::load;
 
-/// Time between looks at the entries' health.
+/// Interval between health checks of the entries.
 const INTERVAL: Duration = Duration::from_millis(100);
 
 /// A running balancer. Dropping it ends it.
@@ -18,7 +18,7 @@
 }
 
 impl Balancer {
-    /// Starts to look at the entries.
+    /// Starts the health checks of the entries.
     pub fn start(fleet: Arc<Fleet>) -> Self {
         let pool = Arc::new(load::Pool::new(Vec::new()));
         let task = tokio::spawn(follow(Arc::clone(&fleet), Arc::clone(&pool)));
--- a/crates/agatectl/src/demo/summary.rs
+++ b/crates/agatectl/src/demo/summary.rs
@@ -22,7 +22,7 @@
 }
 
 impl Summary {
-    /// Whether every answer was whole and its caller's own, or its outcome was told truly.
+    /// Whether every caller got its own complete response or the true outcome of its request.
     pub fn is_good(&self) -> bool {
         let told = |verdict: &load::Verdict| verdict.is_told();
         self.answers.verdicts.keys().all(told) && self.found.is_good()
--- a/crates/agatectl/src/demo/truth.rs
+++ b/crates/agatectl/src/demo/truth.rs
@@ -1,4 +1,4 @@
-//! Compares what callers were told with what engines and services ran.
+//! Compares the outcomes reported to callers with what engines and services ran.
 
 use agateflow_standin::service::Call;
 use serde::Serialize;
@@ -23,7 +23,7 @@
 /// What the comparison found.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct Found {
-    /// Requests whose callers were told "not run" although they ran.
+    /// Requests that were reported as "not run" although they ran.
     pub not_run_but_ran: u64,
     /// Calls that may not be repeated and ran more than once.
     pub repeated: u64,
@@ -34,7 +34,7 @@
 }
 
 impl Found {
-    /// Whether callers were told the truth and no call ran twice that may not.
+    /// Whether all reported outcomes are true and no call ran twice that may run once only.
     pub fn is_good(&self) -> bool {
         self.not_run_but_ran == 0 && self.repeated == 0 && self.whole_but_not_run == 0
     }
--- a/crates/agatectl/src/demo/watch.rs
+++ b/crates/agatectl/src/demo/watch.rs
@@ -1,4 +1,4 @@
-//! Looks at the operators' pages of a process.
+//! Reads the operators' pages of a process.
 
 use std::time::Duration;
 
--- a/crates/agatectl/src/explain.rs
+++ b/crates/agatectl/src/explain.rs
@@ -107,7 +107,7 @@
     };
     for line in input.lines() {
         let line = line?;
-        // A collector may have written something of its own before the object.
+        // A log collector may have added a prefix before the object.
         let object = line.find('{').map_or("", |start| &line[start..]);
         match serde_json::from_str::<Map<String, Value>>(object) {
             Ok(fields) if fields.get("id").and_then(Value::as_str) == Some(id) => {
--- a/crates/agatectl/src/load/check.rs
+++ b/crates/agatectl/src/load/check.rs
@@ -11,11 +11,11 @@
 pub enum Verdict {
     /// The whole answer came, once, and it was the caller's own.
     Whole,
-    /// The caller was told that the request ran, without the answer.
+    /// Reported as run, without the response.
     Ran,
-    /// The caller was told that the request did not run.
+    /// Reported as not run.
     NotRun,
-    /// The caller was told that the outcome is unknown.
+    /// Reported as unknown.
     Unknown,
     /// The answer broke off visibly, or the connection did before it.
     Cut,
@@ -57,7 +57,7 @@
         matches!(self, Self::Foreign | Self::Truncated | Self::Doubled | Self::Contradictory)
     }
 
-    /// Whether the caller has the answer, or was told what became of the request.
+    /// Whether the caller got the response or the outcome of its request.
     pub fn is_told(self) -> bool {
         matches!(self, Self::Whole | Self::Ran | Self::NotRun | Self::Unknown)
     }
@@ -148,7 +148,7 @@
         events
     }
 
-    /// The verdict on the stream. `clean` tells whether its connection ended it properly.
+    /// Verdict on the stream. `clean` is whether its connection ended without an error.
     pub fn finish(self, clean: bool) -> Verdict {
         let whole = self.next == self.answer.events() && !self.buffer.has_remaining();
         match self.verdict {
--- a/crates/agatectl/src/load/mix.rs
+++ b/crates/agatectl/src/load/mix.rs
@@ -15,7 +15,7 @@
     /// A range ends before it begins, or goes beyond what an engine takes.
     #[error("range {0}..{1} is not within 0..{MAX_SIZE}")]
     Range(u64, u64),
-    /// A path or method cannot stand in a request.
+    /// A path or method is not valid in a request.
     #[error("{0:?} is not a path or method")]
     Text(Box<str>),
 }
@@ -84,7 +84,7 @@
     Service {
         /// The method.
         method: Box<str>,
-        /// The path, in which `{n}` stands for the number of the request.
+        /// The path, in which `{n}` is replaced by the number of the request.
         path: Box<str>,
         /// Size of the body, in bytes. A small body still names the request.
         body_bytes: Range,
--- a/crates/agatectl/src/load/request.rs
+++ b/crates/agatectl/src/load/request.rs
@@ -48,7 +48,7 @@
     ///
     /// # Errors
     ///
-    /// [`Error::Step`] if the mix holds what cannot stand in a request.
+    /// [`Error::Step`] if the mix contains an invalid method, path or header.
     pub fn new(mix: &mix::Mix, run: u64, start: Start) -> Result<Self, Error> {
         let mut rng = Pcg64Mcg::seed_from_u64(start.seed);
         let index = mix.draw(&mut rng);
--- a/crates/agatectl/src/measure/control.rs
+++ b/crates/agatectl/src/measure/control.rs
@@ -88,7 +88,7 @@
         });
         let measured = futures::future::try_join_all(measured);
         let (measured, fleets): (Vec<_>, Vec<_>) = runtime.block_on(measured)?.into_iter().unzip();
-        // One process alone shows its memory; its other figures have nobody to share them with.
+        // A single process shows its own memory only; its other figures need peers.
         points.extend(measured.into_iter().filter(|point| point.size.members() > 1));
         memory.push(report::Memory::new(sizes, worker::resident_bytes()?));
         drop(fleets);
--- a/crates/agatectl/src/measure/control/point.rs
+++ b/crates/agatectl/src/measure/control/point.rs
@@ -51,7 +51,7 @@
         (self.data_centres - 1) * self.upstreams.div_ceil(self.group)
     }
 
-    /// Sum over all processes of the members that each one knows.
+    /// Sum over all processes of the number of members known to each.
     pub fn known(&self) -> usize {
         let entry = self.entries + self.upstreams;
         self.data_centres * (self.entries * entry + self.upstreams * self.entries)
@@ -213,7 +213,7 @@
     }
 }
 
-/// Measures one size. `point` tells apart the addresses of sizes that run at the same time.
+/// Measures one size. `point` selects distinct addresses for sizes that run concurrently.
 ///
 /// # Errors
 ///
--- a/crates/agatectl/src/measure/control/report.rs
+++ b/crates/agatectl/src/measure/control/report.rs
@@ -25,7 +25,7 @@
 pub struct Memory {
     /// Processes of the fleet that run in it.
     pub members: usize,
-    /// Sum over them of the members that each one knows.
+    /// Sum over them of the number of members known to each.
     pub known: usize,
     /// Resident bytes.
     pub resident: u64,
--- a/crates/agatectl/src/measure/drift/mod.rs
+++ b/crates/agatectl/src/measure/drift/mod.rs
@@ -48,7 +48,7 @@
     result
 }
 
-/// The problem that the live ranks of a sample make.
+/// The planning problem of a sample's live ranks.
 pub fn problem_of(sample: &trace::Sample) -> problem::Problem {
     let live = sample.ranks.iter().filter(|r| r.live);
     problem::Problem {
--- a/crates/agatectl/src/measure/drift/report.rs
+++ b/crates/agatectl/src/measure/drift/report.rs
@@ -12,7 +12,7 @@
 pub const RECOVERED: f64 = 0.15;
 /// Units of the histogram of skews in 1.
 const SCALE: f64 = 10_000.0;
-/// Largest skew that the histogram tells apart.
+/// Largest skew that the histogram resolves.
 const MAX_SKEW: u64 = 1_000_000;
 
 /// One trace with the results of all methods.
--- a/crates/agatectl/src/measure/drift/trace.rs
+++ b/crates/agatectl/src/measure/drift/trace.rs
@@ -13,7 +13,7 @@
 pub const EXPERTS: usize = 64;
 /// Layers of the model.
 pub const LAYERS: usize = 16;
-/// Time between two samples; each stands for one step.
+/// Time between two samples, each of one step.
 pub const SAMPLE: unit::Millis = unit::Millis::new(500);
 /// Samples of a trace.
 pub const SAMPLES: usize = 1800;
--- a/crates/agatectl/src/measure/outcomes.rs
+++ b/crates/agatectl/src/measure/outcomes.rs
@@ -19,12 +19,12 @@
 const SPACING: unit::Millis = unit::Millis::new(10);
 /// When a repeatable call without output is sent a second time; the baselines' timeout.
 const HEDGE_AFTER: unit::Millis = unit::Millis::new(400);
-/// How long a trial goes on without faults after the last call.
+/// Duration of a trial without faults after the last call.
 const TAIL: unit::Millis = unit::Millis::new(20_000);
 /// Operations of each measurement of costs.
 const OPERATIONS: u64 = 20_000;
 
-/// Requests of one kind, by what they were told.
+/// Requests of one kind, by reported outcome.
 #[derive(Debug, Serialize)]
 struct Told {
     kind: &'static str,
--- a/crates/agatectl/src/measure/path/mod.rs
+++ b/crates/agatectl/src/measure/path/mod.rs
@@ -1,4 +1,4 @@
-//! `agatectl measure path`: what entry and upstream process add to a call, beside the same stand-ins
+//! `agatectl measure path`: latency that entry and upstream process add to a call, against the same fakes
 //! called directly.
 
 mod cost;
--- a/crates/agatectl/src/measure/routing/policy.rs
+++ b/crates/agatectl/src/measure/routing/policy.rs
@@ -28,7 +28,7 @@
     }
 }
 
-/// What one entry knows, under any policy.
+/// State of one entry, under any policy.
 pub struct Entry {
     kind: Kind,
     ledger: Balancer,
--- a/crates/agatectl/tests/check.rs
+++ b/crates/agatectl/tests/check.rs
@@ -96,7 +96,7 @@
     }
 }
 
-/// The names of all fields that a JSON Schema knows.
+/// The names of all fields in a JSON Schema.
 fn fields(schema: &Value) -> Vec<String> {
     let definitions = schema["$defs"].as_object().into_iter().flat_map(|d| d.values());
     let types = definitions.chain([schema]);
--- a/crates/agatectl/tests/load.rs
+++ b/crates/agatectl/tests/load.rs
@@ -22,7 +22,7 @@
     json!({ "kinds": [{ "name": "only", "weight": 1, "call": call }] }).to_string()
 }
 
-/// Runs a few requests against a server that answers as told.
+/// Runs a few requests against a scripted server.
 fn run(name: &str, streamed: bool, reply: Reply) -> (Option<i32>, Value) {
     let server = support::server(reply);
     let mix = support::file(name, &mix(streamed));
--- a/crates/agatectl/tests/python.rs
+++ b/crates/agatectl/tests/python.rs
@@ -30,7 +30,7 @@
     fs::read_to_string(root().join(path)).expect("the file is in the repository")
 }
 
-/// The good fleet without its comment, which Python's reader does not know.
+/// The valid fleet without its comment, which Python's JSON parser rejects.
 fn good() -> String {
     let text = read("crates/agateflow/tests/configs/fleet.jsonc");
     text.split_once('\n').expect("the first line is a comment").1.to_owned()
--- a/crates/agatectl/tests/support/mod.rs
+++ b/crates/agatectl/tests/support/mod.rs
@@ -1,4 +1,4 @@
-//! Fixtures: the tool's binary, files and a server that answers as it is told.
+//! Fixtures: the tool's binary, files and a scripted server.
 
 #![allow(clippy::unwrap_used, dead_code)]
 
@@ -36,7 +36,7 @@
     path
 }
 
-/// How a server answers a request whose right answer it knows.
+/// Response of the scripted server to a request, given the correct one.
 pub type Reply = fn(&Answer) -> Response;
 
 struct App {
--- a/crates/agateflow/src/config/check.rs
+++ b/crates/agateflow/src/config/check.rs
@@ -61,7 +61,7 @@
     groups(reader, &root);
 }
 
-/// Reports each place whose key stands at an earlier place already.
+/// Reports each duplicate key.
 fn unique<'v, 'a: 'v>(
     reader: &mut read::Reader,
     keyed: impl Iterator<Item = (String, select::Place<'v, 'a>)>,
@@ -104,7 +104,7 @@
     }
 }
 
-/// Reports each address that stands at an earlier place already; port 0 stands for any free port.
+/// Reports each duplicate address. Port 0 means any free port, so it may repeat.
 pub(crate) fn addresses(reader: &mut read::Reader, places: Vec<select::Place<'_, '_>>) {
     let parsed = places.into_iter().filter_map(|p| Some((p.read::<net::SocketAddr>()?, p)));
     let fixed = parsed.filter(|(address, _)| address.port() != 0);
--- a/crates/agateflow/src/config/kind.rs
+++ b/crates/agateflow/src/config/kind.rs
@@ -1,4 +1,4 @@
-//! The two kinds of files that operators write, told apart by their content.
+//! The two kinds of files that operators write, distinguished by their content.
 
 use std::fmt;
 use std::str;
--- a/crates/agateflow/src/config/read.rs
+++ b/crates/agateflow/src/config/read.rs
@@ -1,4 +1,4 @@
-//! Typed reading of JSON with comments that goes on after a problem, so that all are reported.
+//! Typed parsing of JSON with comments. It continues after an error, so that all errors are reported.
 
 use std::fmt::Display;
 use std::net;
--- a/crates/agateflow/src/config/team.rs
+++ b/crates/agateflow/src/config/team.rs
@@ -53,7 +53,7 @@
     Low,
     /// Ordinary work.
     Normal,
-    /// Work that somebody waits for.
+    /// Interactive work.
     High,
 }
 
--- a/crates/agateflow/src/settings.rs
+++ b/crates/agateflow/src/settings.rs
@@ -1,4 +1,4 @@
-//! Settings of one process: its place, addresses and limits.
+//! Settings of one process: VM, addresses and limits.
 
 use std::fmt;
 use std::net;
@@ -24,20 +24,20 @@
     pub vm: id::Vm,
     /// The data centre that the VM is in.
     pub data_centre: id::DataCentre,
-    /// What the process does.
+    /// Role of the process.
     pub role: Role,
-    /// Address at which it listens to other processes of the system.
+    /// Listen address for other processes of the system.
     pub listen: net::SocketAddr,
-    /// Address at which it listens to operators.
+    /// Listen address for operators.
     pub operators: net::SocketAddr,
-    /// Addresses of processes that it asks first for the fleet's state.
+    /// Addresses of processes to fetch the fleet's state from at the start.
     #[serde(default)]
     pub seeds: Vec<net::SocketAddr>,
     /// Address of the configuration service.
     pub configuration: net::SocketAddr,
     /// Key that authenticates messages between the system's processes.
     pub secret: Secret,
-    /// Limits of its connections and requests.
+    /// Limits on connections and requests.
     #[serde(default)]
     pub limits: Limits,
 }
@@ -54,16 +54,16 @@
     limits = Limits::default(),
 });
 
-/// What a process does.
+/// Role of a process.
 #[derive(Clone, Debug, PartialEq, Serialize, schemars::JsonSchema)]
 #[serde(tag = "kind", rename_all = "kebab-case", deny_unknown_fields)]
 pub enum Role {
-    /// Takes the requests of callers.
+    /// Accepts requests of callers.
     Entry {
-        /// Address at which it listens to callers.
+        /// Listen address for callers.
         callers: net::SocketAddr,
     },
-    /// Stands before an engine or plain service on the same VM.
+    /// Proxies an engine or plain service on the same VM.
     Upstream {
         /// Address of the engine or plain service.
         backend: net::SocketAddr,
@@ -107,13 +107,13 @@
 
 read::read_text!(Kind: "a kind of role: entry or upstream");
 
-/// Where the key that authenticates messages between processes is found.
+/// Source of the key that authenticates messages between processes.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, schemars::JsonSchema)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub enum Secret {
     /// The key itself.
     Key(Key),
-    /// Path of a file that holds the key in 64 hexadecimal digits.
+    /// Path of a file with the key in 64 hexadecimal digits.
     File(Box<str>),
 }
 
@@ -140,7 +140,7 @@
     }
 }
 
-/// A key of 32 bytes. It prints as `[redacted]`; only its bytes give it away.
+/// A key of 32 bytes. It is printed as `[redacted]`.
 #[derive(Clone, PartialEq, Eq, Serialize)]
 #[serde(into = "Box<str>")]
 pub struct Key([u8; 32]);
@@ -220,37 +220,37 @@
 #[derive(Clone, Debug, PartialEq, Serialize, schemars::JsonSchema)]
 #[serde(deny_unknown_fields, default)]
 pub struct Limits {
-    /// Connections of callers at once.
+    /// Maximum number of concurrent connections of callers.
     pub connections: Connections,
-    /// Size of a request's header.
+    /// Maximum size of a request's head.
     #[serde(serialize_with = "quantity::text")]
     #[schemars(schema_with = "quantity::size_schema")]
     pub header: unit::Bytes,
-    /// Size of a request's body.
+    /// Maximum size of a request's body.
     #[serde(serialize_with = "quantity::text")]
     #[schemars(schema_with = "quantity::size_schema")]
     pub body: unit::Bytes,
-    /// Size of an answer's part that waits for a slow caller.
+    /// Maximum size of the part of a response that is buffered for a slow caller.
     #[serde(serialize_with = "quantity::text")]
     #[schemars(schema_with = "quantity::size_schema")]
     pub answer_buffer: unit::Bytes,
-    /// Time in which a request's header must arrive.
+    /// Timeout for receiving a request's head.
     #[serde(serialize_with = "quantity::text")]
     #[schemars(schema_with = "quantity::millis_schema")]
     pub header_time: unit::Millis,
-    /// Time in which a caller must take some of the answer that waits for it.
+    /// Timeout for a caller to read part of a buffered response.
     #[serde(serialize_with = "quantity::text")]
     #[schemars(schema_with = "quantity::millis_schema")]
     pub write_time: unit::Millis,
-    /// Time in which a request must be answered.
+    /// Timeout for the response to a request.
     #[serde(serialize_with = "quantity::text")]
     #[schemars(schema_with = "quantity::millis_schema")]
     pub request_time: unit::Millis,
-    /// Time that a shutdown waits for requests in progress.
+    /// Time for which a shutdown waits for requests in progress.
     #[serde(serialize_with = "quantity::text")]
     #[schemars(schema_with = "quantity::millis_schema")]
     pub drain_time: unit::Millis,
-    /// Time in which callers may send a call with the same idempotency key again.
+    /// Time for which callers may retry a call with the same idempotency key.
     #[serde(serialize_with = "quantity::text")]
     pub key_window: unit::Millis,
 }
@@ -296,12 +296,12 @@
 ///
 /// # Errors
 ///
-/// All problems of the text, up to [`config::MAX_PROBLEMS`]; a text of wrong syntax has one.
+/// All errors of the text, up to [`config::MAX_PROBLEMS`]. Invalid syntax is one error.
 pub fn parse(text: &str) -> Result<Settings, config::Problems> {
     read::document(text, addresses)
 }
 
-/// Checks what holds between the addresses.
+/// Checks that the addresses are consistent.
 fn addresses(document: &ast::Value<'_>, reader: &mut read::Reader) {
     let root = select::Place::root(document);
     let select = |patterns: &[&str]| {
--- a/crates/agateflowd/src/configuration.rs
+++ b/crates/agateflowd/src/configuration.rs
@@ -17,7 +17,7 @@
 /// Key of the configuration at the service.
 const KEY: &str = "fleet";
 
-/// Judges the bytes of a configuration, alike in every process.
+/// Validates the bytes of a configuration, with the same result in every process.
 ///
 /// # Errors
 ///
@@ -99,7 +99,7 @@
     first(documents, logger).await
 }
 
-/// Waits for another document. The channel lives as long as the handle that follows it.
+/// Waits for another document. The channel is open as long as its handle.
 async fn change(documents: &mut Documents) {
     if documents.changed().await.is_err() {
         std::future::pending::<()>().await;
@@ -108,7 +108,7 @@
 
 fn current(documents: &mut Documents, logger: &slog::Logger) -> Option<config::Fleet> {
     let document = documents.borrow_and_update().clone()?;
-    // Accepted documents parse; `accept` has judged them.
+    // Accepted documents parse, as `accept` has validated them.
     let fleet = config::parse(config::decode(&document.bytes).ok()?).ok()?;
     event!(logger, Event::ConfigurationAccepted; "revision" => %fleet.revision);
     Some(fleet)
--- a/crates/agateflowd/src/direct/crash.rs
+++ b/crates/agateflowd/src/direct/crash.rs
@@ -128,7 +128,7 @@
             if let Some(retry_delay) = self.crash_refusal(request) {
                 return retry_delay;
             }
-            // The sender lives as long as the entry.
+            // The sender is never dropped before the entry.
             let _ = changes.changed().await;
         }
     }
--- a/crates/agateflowd/src/direct/notice.rs
+++ b/crates/agateflowd/src/direct/notice.rs
@@ -36,7 +36,7 @@
         notice
     }
 
-    /// Sends an upstream that leaves no more requests, and tells the other entries.
+    /// Marks an upstream that leaves as draining, and sends the next heartbeat early.
     fn record_leaving(&self, upstream: &Incarnation) {
         let leaving = std::slice::from_ref(upstream);
         if self.directory.borrow_mut().mark_draining(leaving) {
--- a/crates/agateflowd/src/direct/pool.rs
+++ b/crates/agateflowd/src/direct/pool.rs
@@ -40,7 +40,7 @@
         /// Cause of the failure.
         reason: Box<str>,
     },
-    /// It was sent, but the connection broke or carried something else.
+    /// It was sent, but the connection broke or carried invalid bytes.
     #[error("no answer from {peer}: {reason}")]
     Broken {
         /// The upstream.
--- a/crates/agateflowd/src/error.rs
+++ b/crates/agateflowd/src/error.rs
@@ -43,7 +43,7 @@
         /// The other side.
         peer: SocketAddr,
     },
-    /// The other side does not know the secret, or is not who was expected.
+    /// The peer lacks the secret or has another identity than expected.
     #[error("authenticate {peer}: {reason}")]
     Peer {
         /// The other side.
--- a/crates/agateflowd/src/fleet/handle.rs
+++ b/crates/agateflowd/src/fleet/handle.rs
@@ -15,7 +15,7 @@
 
 const ITEM_BACKLOG: usize = 1_024; // items buffered for a slow receiver
 
-/// Snapshot of what the process knows of the fleet.
+/// Snapshot of this process's view of the fleet.
 #[derive(Clone, Debug, Default)]
 pub struct View {
     /// Members of the process's data centre, live or not.
--- a/crates/agateflowd/src/log.rs
+++ b/crates/agateflowd/src/log.rs
@@ -44,7 +44,7 @@
         let taken = mem::take(&mut *buffer.lock().unwrap_or_else(PoisonError::into_inner));
         if taken.dropped > 0 {
             let line = format!("{{\"msg\":\"log lines dropped\",\"lines\":{}}}\n", taken.dropped);
-            // Without a reader of standard output there is nobody to tell.
+            // Without a reader of standard output, the error has no destination.
             let _ = io::stdout().write_all(line.as_bytes());
         }
         if !taken.bytes.is_empty() {
--- a/crates/agateflowd/tests/testenv/mod.rs
+++ b/crates/agateflowd/tests/testenv/mod.rs
@@ -1,4 +1,4 @@
-//! A small fleet on loopback: stand-ins of the platform, upstream processes and entries.
+//! A small fleet on loopback: fakes of the platform, upstream processes and entries.
 
 #![allow(clippy::unwrap_used, dead_code)]
 
--- a/python/agateflow/build.py
+++ b/python/agateflow/build.py
@@ -1,4 +1,4 @@
-"""Builds the parts of a fleet that come in numbers: VMs and ranks."""
+"""Generators for the repeated parts of a fleet: VMs and ranks."""
 
 import hashlib
 import ipaddress
@@ -10,12 +10,12 @@
 from .fleet import Rank, Vm
 
 PORT = 7400
-"""Port at which processes listen to each other, unless another is given."""
+"""Default port for messages between processes."""
 
 
 @dataclass
 class Site:
-    """A data centre whose VMs get the addresses of a network one after the other."""
+    """A data centre whose VMs get consecutive addresses of a network."""
 
     data_centre: str
     network: str
@@ -23,7 +23,7 @@
     _used: int = field(default=0, init=False)
 
     def vm(self, name: str, role: role.Role) -> Vm:
-        """A VM at the next address; its name ends in the data centre's."""
+        """A VM at the next address. The data centre's name is its suffix."""
         self._used += 1
         host = ipaddress.ip_network(self.network)[self._used]
         address = f"[{host}]:{self.port}" if host.version == 6 else f"{host}:{self.port}"
@@ -53,11 +53,11 @@
 
 
 def ranks(vms: Sequence[Vm], per_vm: int = 1) -> list[Rank]:
-    """Ranks on engine VMs, the same number on each, named in order."""
+    """Ranks on engine VMs, equally many on each, numbered in order."""
     places = [vm.name for vm in vms for _ in range(per_vm)]
     return [Rank(name=f"r{i}", vm=vm) for i, vm in enumerate(places)]
 
 
 def digest(key: str) -> str:
-    """The digest that stands in the configuration for a bearer key."""
+    """The digest of a bearer key, as the configuration stores it."""
     return hashlib.sha256(key.encode()).hexdigest()
--- a/python/agateflow/check.py
+++ b/python/agateflow/check.py
@@ -1,4 +1,4 @@
-"""Checks a configuration: the shape of its values, and what holds between its parts."""
+"""Validates a configuration: each value, and the references between its parts."""
 
 import json
 from collections.abc import Iterable, Iterator
@@ -25,7 +25,7 @@
     ("teams/*", "models/*"),
     ("teams/*", "routes/*"),
 )
-"""Lists whose elements each need their own text, below each place of the first pattern."""
+"""Lists whose elements must have distinct values, below each match of the first pattern."""
 
 REFERENCES = (
     ("vms/*/data_centre", "data centre", "data_centres/*/name"),
@@ -38,12 +38,12 @@
     ("teams/*/models/*", "model", "models/*/name"),
     ("teams/*/routes/*", "route", "routes/*/name"),
 )
-"""Texts that name an element of a list, what they name, and the list."""
+"""References to elements of lists: their pattern, the kind of element, and the list."""
 
 
 @dataclass(frozen=True, order=True)
 class Problem:
-    """One problem; the path of the whole file is ``.``."""
+    """One error. The path of the whole file is ``.``."""
 
     path: str
     message: str
@@ -68,14 +68,14 @@
     value: object
 
     def select(self, pattern: str) -> list["Place"]:
-        """The places that ``pattern`` names below this one, such as ``groups/*/ranks/*/vm``."""
+        """The descendants that match ``pattern``, such as ``groups/*/ranks/*/vm``."""
         places = [self]
         for segment in pattern.split("/") if pattern else []:
             places = [child for place in places for child in place.children(segment)]
         return places
 
     def children(self, segment: str) -> Iterator["Place"]:
-        """The elements of a list, or the field that ``segment`` names."""
+        """The elements of a list, or the field named ``segment``."""
         if segment == "*" and isinstance(self.value, list):
             for index, element in enumerate(self.value):
                 yield Place(f"{self.path}[{index}]", element)
@@ -83,14 +83,14 @@
             yield Place(shape.below(self.path, segment), self.value[segment])
 
     def fits(self, hint: type) -> bool:
-        """Whether the value has the shape of ``hint``, fields too many aside."""
+        """Whether the value has the type ``hint``, ignoring unknown fields."""
         found: list[str] = []
         report = shape.Report(lambda path, _: found.append(path), lambda path, message: None)
         shape.walk(self.value, hint, "", report)
         return not found
 
     def get(self, name: str) -> object:
-        """A field of an object that has it, or ``None``."""
+        """A field of an object, or ``None`` if absent."""
         return self.value.get(name) if isinstance(self.value, dict) else None
 
 
--- a/python/agateflow/fleet.py
+++ b/python/agateflow/fleet.py
@@ -1,4 +1,4 @@
-"""Types of a fleet's configuration. Each field's annotation gives the rule that it obeys."""
+"""Types of a fleet's configuration. The annotation of a field is its validation rule."""
 
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -15,7 +15,7 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Weights:
-    """What the deployment weighs when it plans expert maps."""
+    """Weights of the planner of expert maps."""
 
     skew: Weight
     moves: Weight
@@ -43,7 +43,7 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Vm:
-    """A VM, and the address at which its process listens to the others."""
+    """A VM, and the listen address of its process for other processes."""
 
     name: Name
     data_centre: Name
@@ -82,7 +82,7 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Service:
-    """A plain service. The VMs that run it name it in their role."""
+    """A plain service. VMs that run it refer to it in their role."""
 
     name: Name
 
@@ -109,7 +109,7 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Team:
-    """A customer that limits and priorities apply to."""
+    """A customer with its own limits and priority."""
 
     name: Name
     keys: Sequence[Annotated[str, rule.digest]]
--- a/python/agateflow/role.py
+++ b/python/agateflow/role.py
@@ -9,7 +9,7 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Entry:
-    """Takes the requests of callers."""
+    """Accepts requests of callers."""
 
     kind: Literal["entry"] = field(default="entry", init=False)
 
--- a/python/agateflow/rule.py
+++ b/python/agateflow/rule.py
@@ -1,4 +1,4 @@
-"""Rules for single values: each says what is wrong with a value, or returns ``None``."""
+"""Validation rules for single values. Each returns an error message, or ``None``."""
 
 import ipaddress
 import re
@@ -7,7 +7,7 @@
 Rule = Callable[[object], str | None]
 
 MAX_NUMBER = (1 << 53) - 1
-"""Largest whole number accepted: the largest that every JSON reader keeps exact."""
+"""Largest integer accepted: the largest that every JSON parser represents exactly."""
 
 MAX_PATH_CHARACTERS = 256
 
@@ -23,7 +23,7 @@
 
 
 def positive(high: float) -> Rule:
-    """A number over 0 and at most ``high``."""
+    """A positive number of at most ``high``."""
 
     def check(value: object) -> str | None:
         if isinstance(value, int | float) and not isinstance(value, bool):
@@ -47,7 +47,7 @@
 
 
 def one_of(*words: str) -> Rule:
-    """One of a few words."""
+    """One of a set of words."""
 
     def check(value: object) -> str | None:
         good = isinstance(value, str) and value in words
@@ -107,7 +107,7 @@
 
 
 def digest(value: object) -> str | None:
-    """The SHA-256 digest of a key. The value is never shown: it may be the key."""
+    """The SHA-256 digest of a key. Errors do not show the value, as it may be the key itself."""
     if isinstance(value, str) and re.fullmatch("[0-9a-fA-F]{64}", value):
         return None
     return "expected the SHA-256 digest of a key in 64 hexadecimal digits"
--- a/python/agateflow/shape.py
+++ b/python/agateflow/shape.py
@@ -1,4 +1,4 @@
-"""Walks plain JSON data beside the types of a fleet, and reports what does not fit them."""
+"""Compares JSON data with the types of a fleet, and reports mismatches."""
 
 import dataclasses
 import functools
@@ -11,14 +11,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class Report:
-    """Takes the paths and messages of values that do not fit, and of fields too many."""
+    """Collects the paths and messages of mismatches and unknown fields."""
 
     wrong: Callable[[str, str], None]
     extra: Callable[[str, str], None]
 
 
 class Object(dict[str, object]):
-    """A JSON object that remembers the fields that were given twice."""
+    """A JSON object that records duplicate fields."""
 
     def __init__(self, pairs: list[tuple[str, object]]) -> None:
         super().__init__()
@@ -31,7 +31,7 @@
 
 
 def json_name(field: str) -> str:
-    """The name of a field in JSON; Python's own words carry an underscore at their end."""
+    """The name of a field in JSON. Fields named like Python keywords have a trailing underscore."""
     return field.rstrip("_")
 
 
@@ -51,7 +51,7 @@
 
 
 def walk(value: object, hint: object, path: str, report: Report) -> None:
-    """Reports each place below ``path`` where ``value`` does not fit the type ``hint``."""
+    """Reports each mismatch between ``value`` at ``path`` and the type ``hint``."""
     origin = typing.get_origin(hint)
     if origin is typing.Annotated:
         _, rule = typing.get_args(hint)
