Give notices of upstreams and queues of waiting requests modules of their own

What upstreams say of themselves is logged by one function on both data paths (notice), and permit.rs, which had grown large, leaves the queue of waiting requests to waiting.rs. An engine that goes on answering after the time of its leaving is used again. Decisions are the same otherwise.

--- a/crates/agateflowd/src/direct/adapter.rs
+++ b/crates/agateflowd/src/direct/adapter.rs
@@ -2,11 +2,12 @@
 
 use std::net::SocketAddr;
 
-use agateflow::direct::rate;
 use agateflow::lockstep::report::{Order, Report};
 use agateflow::{id, unit};
 use http::{HeaderMap, request, response};
 
+use crate::notice::Notice;
+
 /// What the headers of a caller's request say.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Head {
@@ -48,17 +49,6 @@
     Foreign,
 }
 
-/// What an upstream says of itself in the head of a response.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Notice {
-    /// Request rate that it accepts from all entries together, if limited.
-    pub rate_limit: Option<rate::Limit>,
-    /// Time for which it accepts no requests from this entry, if it refused one.
-    pub rest: Option<unit::Millis>,
-    /// Whether it is shutting down.
-    pub leaving: bool,
-}
-
 /// Header format of a platform.
 pub trait Dialect {
     /// Reads a caller's request.
--- a/crates/agateflowd/src/direct/entry.rs
+++ b/crates/agateflowd/src/direct/entry.rs
@@ -17,8 +17,8 @@
 use tokio::sync::{Notify, watch};
 
 use super::adapter::Dialect;
-use super::permit::Service;
 use super::pool::Pool;
+use super::waiting::Service;
 use crate::event;
 
 /// Startup options of an entry.
--- a/crates/agateflowd/src/direct/exchange.rs
+++ b/crates/agateflowd/src/direct/exchange.rs
@@ -14,10 +14,11 @@
 use hyper::body::Incoming;
 use tokio::time;
 
-use super::adapter::{Classification, Forward, Notice};
+use super::adapter::{Classification, Forward};
 use super::call::Call;
 use super::permit::{self, Permit, Refusal};
 use super::pool;
+use crate::notice::Notice;
 use crate::{event, meter};
 
 /// Response timeout after which a repeatable request goes to another upstream, as a multiple of the
--- a/crates/agateflowd/src/direct/mod.rs
+++ b/crates/agateflowd/src/direct/mod.rs
@@ -23,5 +23,6 @@
 pub mod socket;
 pub mod stream;
 pub mod takeover;
+pub mod waiting;
 
 pub use entry::Entry;
--- a/crates/agateflowd/src/direct/notice.rs
+++ b/crates/agateflowd/src/direct/notice.rs
@@ -1,25 +1,20 @@
-//! What upstreams say of themselves in their responses.
+//! Applies what upstreams say of themselves in their responses.
 
 use agateflow::direct::directory::Incarnation;
 use agateflow::direct::rate;
-use agateflow::event::Event;
-use agateflow::{id, unit};
+use agateflow::id;
 use http::response;
 
 use super::Entry;
-use super::adapter::Notice;
 use super::permit::Permit;
-use crate::event;
+use crate::notice::{self, Notice};
 
 impl Entry {
     /// Records and returns what the upstream of `permit` says of itself in a response.
     pub fn record_notice(&self, head: &response::Parts, permit: &Permit) -> Notice {
         let notice = self.dialect.parse_notice(head);
         let upstream = permit.upstream.incarnation();
-        if notice.rest.is_some() || notice.leaving {
-            event!(self.logger, Event::UpstreamNotice; "upstream" => %upstream.vm,
-                "rest" => notice.rest.map(unit::Millis::get), "leaving" => notice.leaving);
-        }
+        notice.log(&self.logger, &upstream.vm);
         if notice.leaving {
             self.record_leaving(&upstream);
         }
@@ -30,7 +25,8 @@
         let changed =
             self.rates.borrow_mut().record_limit(&upstream, limit, permit.granted_at, self.now());
         if changed {
-            self.log_rate(&rate::Change { upstream: upstream.vm, limit }, "response");
+            let change = rate::Change { upstream: upstream.vm, limit };
+            notice::log_rate_limit(&self.logger, &change, "response");
             self.heartbeat_trigger.notify_one();
         }
         notice
@@ -56,7 +52,7 @@
         let mut rates = self.rates.borrow_mut();
         rates.set_members(members);
         for change in rates.merge(peer, reports, is_listed, now) {
-            self.log_rate(&change, "entry");
+            notice::log_rate_limit(&self.logger, &change, "entry");
         }
     }
 
@@ -69,9 +65,4 @@
         rates.set_members(members);
         rates.retain(|upstream| directory.lists(upstream), now);
     }
-
-    fn log_rate(&self, change: &rate::Change, source: &str) {
-        event!(self.logger, Event::RateLimitNamed; "upstream" => %change.upstream,
-            "limit" => change.limit.map(rate::Limit::get), "source" => source);
-    }
 }
--- a/crates/agateflowd/src/lib.rs
+++ b/crates/agateflowd/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod listener;
 pub mod log;
 pub mod meter;
+pub mod notice;
 pub mod operators;
 pub mod process;
 pub mod retry_after;
--- a/crates/agateflowd/src/upstream/attempt.rs
+++ b/crates/agateflowd/src/upstream/attempt.rs
@@ -18,7 +18,7 @@
 use tokio::time;
 use tokio_util::sync::CancellationToken;
 
-use crate::direct::adapter::Notice;
+use crate::notice::{self, Notice};
 use crate::upstream::scheduler::Scheduler;
 use crate::upstream::sender::Sender;
 use crate::upstream::{Shared, backend, relay};
@@ -391,14 +391,12 @@
 
 /// Records what the engine says of itself in the response to a call sent at `sent_at`.
 fn record_notice(shared: &Shared, notice: Notice, sent_at: unit::Millis) {
-    if notice.rest.is_some() || notice.leaving {
-        event!(shared.logger, Event::UpstreamNotice; "upstream" => %shared.identity.vm,
-            "rest" => notice.rest.map(unit::Millis::get), "leaving" => notice.leaving);
-    }
+    let vm = &shared.identity.vm;
+    notice.log(&shared.logger, vm);
     let changed = shared.attempts.state().scheduler.record_notice(notice, sent_at, clock::now());
     if changed {
-        event!(shared.logger, Event::RateLimitNamed; "upstream" => %shared.identity.vm,
-            "limit" => notice.rate_limit.map(rate::Limit::get), "source" => "response");
+        let change = rate::Change { upstream: vm.clone(), limit: notice.rate_limit };
+        notice::log_rate_limit(&shared.logger, &change, "response");
     }
 }
 
--- a/crates/agateflowd/src/upstream/backend.rs
+++ b/crates/agateflowd/src/upstream/backend.rs
@@ -16,7 +16,7 @@
 use volo_http::error::ClientError;
 use volo_http::response::Response;
 
-use crate::direct::adapter::Notice;
+use crate::notice::Notice;
 use crate::retry_after;
 
 /// Request header with the attempt ID.
--- a/crates/agateflowd/src/upstream/scheduler.rs
+++ b/crates/agateflowd/src/upstream/scheduler.rs
@@ -11,8 +11,8 @@
 use agateflow::wire::frame;
 use indexmap::IndexMap;
 
-use crate::direct::adapter::Notice;
 use crate::meter;
+use crate::notice::Notice;
 
 /// Capacity of the queue, in attempts.
 const QUEUE_CAPACITY: usize = 2_048;
@@ -80,8 +80,8 @@
     ) -> bool {
         let leaving_time = notice.leaving.then_some(MAX_LEAVING_TIME);
         let closed_for = leaving_time.max(notice.rest).unwrap_or_default();
+        self.leaving = notice.leaving || (self.leaving && now < self.closed_until);
         self.closed_until = self.closed_until.max(now + closed_for);
-        self.leaving |= notice.leaving;
         self.rates.record_limit(&self.engine, notice.rate_limit, sent_at, now)
     }
 
--- a/crates/agateflowd/tests/directenv/mod.rs
+++ b/crates/agateflowd/tests/directenv/mod.rs
@@ -14,10 +14,11 @@
 use agateflow::direct::directory::{Change, Revision, State, Upstream};
 use agateflow::id;
 use agateflow::unit::{Bytes, Millis};
-use agateflowd::direct::adapter::{Classification, Dialect, Forward, Head, Notice};
+use agateflowd::direct::adapter::{Classification, Dialect, Forward, Head};
 use agateflowd::direct::entry::Options;
 use agateflowd::direct::{Entry, server, socket};
 use agateflowd::log;
+use agateflowd::notice::Notice;
 use http::{HeaderMap, HeaderValue, StatusCode, request, response};
 use slog::Drain;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
