Ignore what a late response of an earlier process says of the rate limit

A response of an upstream's earlier process that arrived after the next one had named its limit replaced what was known of the next one, so that its limit was forgotten until its next response. The new test failed before. tests/rate.rs also pins which statement decides, the counts of other entries, and the part that an entry keeps to when it hears no other.

--- a/crates/agateflow/src/direct/rate.rs
+++ b/crates/agateflow/src/direct/rate.rs
@@ -210,6 +210,9 @@
         now: unit::Millis,
     ) -> bool {
         let known = self.upstreams.get(&upstream.vm);
+        if known.is_some_and(|tracked| tracked.started_at > upstream.started_at) {
+            return false;
+        }
         let known = known.filter(|tracked| tracked.started_at == upstream.started_at);
         // A response to a request sent before the limit was named may be older than the limit.
         if limit.is_none() && known.is_none_or(|tracked| sent_at < tracked.stated_at) {
