Check with one function whether an upstream's port refuses connections

The former data path wrote again what crash detection already had: direct::socket::is_refused now serves both. Two comments said rate limit where a rest holds attempts back too.

--- a/crates/agateflowd/src/direct/crash.rs
+++ b/crates/agateflowd/src/direct/crash.rs
@@ -1,6 +1,5 @@
 //! Crashes of upstreams, and the requests that are refused because they cause them.
 
-use std::io;
 use std::time::Duration;
 
 use agateflow::direct::directory::Upstream;
@@ -58,7 +57,7 @@
         if request.parts.is_empty() {
             return;
         }
-        if !has_ended(upstream).await {
+        if !socket::is_refused(upstream.address, CHECK_TIMEOUT).await {
             event!(self.logger, Event::UpstreamAlive; "id" => &*request.info.id,
                 "upstream" => %upstream.vm);
             return;
@@ -137,9 +136,3 @@
 fn incarnation(upstream: &Upstream) -> suspect::Incarnation {
     suspect::Incarnation::new(upstream.vm.as_str(), upstream.started_at)
 }
-
-/// Whether `upstream` refuses connections. One that cannot be reached may be cut off.
-async fn has_ended(upstream: &Upstream) -> bool {
-    let connected = socket::connect(upstream.address, CHECK_TIMEOUT).await;
-    connected.is_err_and(|error| error.kind() == io::ErrorKind::ConnectionRefused)
-}
--- a/crates/agateflowd/src/direct/socket.rs
+++ b/crates/agateflowd/src/direct/socket.rs
@@ -59,6 +59,13 @@
     Ok(stream)
 }
 
+/// Whether `address` refuses connections, as the process there has ended. One that cannot be reached
+/// within `time_limit` may be cut off.
+pub async fn is_refused(address: SocketAddr, time_limit: Duration) -> bool {
+    let connected = connect(address, time_limit).await;
+    connected.is_err_and(|error| error.kind() == io::ErrorKind::ConnectionRefused)
+}
+
 /// Opens an HTTP connection within `time_limit`. Its task ends with it or when aborted.
 ///
 /// # Errors
--- a/crates/agateflowd/src/upstream/attempt.rs
+++ b/crates/agateflowd/src/upstream/attempt.rs
@@ -30,7 +30,7 @@
 /// Detail of failed attempts.
 const FAILURE_DETAIL: &str = "the engine gave no whole answer";
 
-/// Interval between checks whether the engine's rate limit allows another dispatch.
+/// Interval between checks whether the engine's rate limit or rest allows another dispatch.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// A queued or running attempt.
@@ -262,7 +262,7 @@
     }
 }
 
-/// Dispatches attempts that the engine's rate limit held back.
+/// Dispatches attempts that the engine's rate limit or rest held back.
 async fn recheck(shared: Arc<Shared>) {
     time::sleep(RECHECK_INTERVAL).await;
     shared.attempts.state().scheduler.end_recheck();
--- a/crates/agateflowd/src/upstream/backend.rs
+++ b/crates/agateflowd/src/upstream/backend.rs
@@ -9,13 +9,12 @@
 use agateflow::wire::frame;
 use bytes::Bytes;
 use http::header;
-use tokio::net::TcpStream;
-use tokio::time;
 use volo_http::body::Body;
 use volo_http::client::Client;
 use volo_http::error::ClientError;
 use volo_http::response::Response;
 
+use crate::direct::socket;
 use crate::notice::Notice;
 use crate::retry_after;
 
@@ -92,8 +91,7 @@
 
     /// Whether the engine or service refuses connections.
     pub async fn has_ended(&self) -> bool {
-        let connected = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address)).await;
-        matches!(connected, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused)
+        socket::is_refused(self.address, CONNECT_TIMEOUT).await
     }
 
     /// Sends the request of `start` and awaits the response head.
--- a/crates/agateflowd/src/upstream/scheduler.rs
+++ b/crates/agateflowd/src/upstream/scheduler.rs
@@ -23,7 +23,7 @@
 /// Weight of a team that is not in the configuration.
 const DEFAULT_WEIGHT: f64 = 1.0;
 
-/// Start time of the engine, which is not known. A limit that an engine named before a restart holds until
+/// Start time of the engine, which is not known. A limit that it named before a restart holds until
 /// the next response.
 const ENGINE_START: u64 = 0;
 
