--- a/review/standin/http.py
+++ b/review/standin/http.py
@@ -1,6 +1,7 @@
 """Minimal HTTP/1.1 server and client for the stand-ins of the review, on asyncio streams."""
 
 import asyncio
+import urllib.parse
 
 
 class Request:
@@ -10,7 +11,7 @@
         self.method = method
         self.target = target
         self.path, _, query = target.partition("?")
-        self.query = dict(pair.partition("=")[::2] for pair in query.split("&") if pair)
+        self.query = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
         self.headers = headers
         self.body = body
         self.writer = writer
--- a/review/standin/platform.py
+++ b/review/standin/platform.py
@@ -21,6 +21,9 @@
 ZONE = "zone-a"
 DRAIN_MS = 2000
 GRACE_S = 8
+MEMORY_MB = 260
+PAGE_ITEMS = 500
+PAGE_BYTES = 1_000_000
 
 BOUNDS = f"""
 [Bounds]
@@ -96,7 +99,8 @@
         self.items = {}
         self.events = []
         self.changed = asyncio.Condition()
-        self.waiting = set()
+        self.silenced = None
+        self.ranges = []
 
     async def put(self, key, value):
         """Writes an item; returns once the store has it, which is its ack."""
@@ -119,13 +123,17 @@
             self.changed.notify_all()
         self.record(f"the store has removed {key} at revision {self.revision}")
 
-    def cut_watches(self):
-        """Cuts the watches that wait."""
-        self.record(f"the store cuts {len(self.waiting)} waiting watches")
-        for writer in list(self.waiting):
-            writer.close()
+    async def silence_next_watch(self):
+        """Lets the channel of the next watch go silent for good; returns once it has."""
+        self.silenced = asyncio.get_running_loop().create_future()
+        await self.silenced
 
     async def handle(self, request):
+        if request.path == "/agateflow/kv-watch" and self.silenced and not self.silenced.done():
+            self.record("the channel to the store goes silent for good; new channels work")
+            self.silenced.set_result(None)
+            await request.reader.read()
+            return None
         answer = await self.answer(request)
         if answer is None:
             return http.response("404 Not Found")
@@ -140,13 +148,27 @@
         after = request.query.get("After", "")
         if request.path == "/agateflow/kv-range":
             keys = [key for key in sorted(self.items) if key.startswith(prefix) and key > after]
-            entries = [self.items[key] for key in keys]
-            return {"Entries": entries, "MorePages": False, "CurrentRev": self.revision}
+            entries = self.page(keys)
+            more = len(entries) < len(keys)
+            self.ranges.append(after)
+            return {"Entries": entries, "MorePages": more, "CurrentRev": self.revision}
         if request.path == "/agateflow/kv-watch":
-            return await self.watch(request, prefix, int(after))
+            return await self.watch(int(request.query["WaitMs"]), prefix, int(after))
         return None
 
-    async def watch(self, request, prefix, after):
+    def page(self, keys):
+        """The first items of `keys`, at most about 500 or 1 MB."""
+        entries = []
+        size = 0
+        for key in keys[:PAGE_ITEMS]:
+            item = self.items[key]
+            size += len(item["Value"])
+            if entries and size > PAGE_BYTES:
+                break
+            entries.append(item)
+        return entries
+
+    async def watch(self, wait_ms, prefix, after):
         def found():
             return [event for event in self.events
                     if event["Revision"] > after and event["Key"].startswith(prefix)]
@@ -155,13 +177,10 @@
             async with self.changed:
                 await self.changed.wait_for(found)
 
-        self.waiting.add(request.writer)
         try:
-            await asyncio.wait_for(wait(), int(request.query["WaitMs"]) / 1000)
+            await asyncio.wait_for(wait(), wait_ms / 1000)
         except asyncio.TimeoutError:
             pass
-        finally:
-            self.waiting.discard(request.writer)
         return {"events": found(), "CurrentRev": self.revision}
 
 
@@ -206,7 +225,7 @@
 [Limits]
 CpuQuota = {0.25 if edge else 0.15}
 Cores = 1
-MemoryMb = {260 if edge else 128}
+MemoryMb = {MEMORY_MB if edge else 128}
 MaxFds = {4100 if edge else 2048}
 LinkMbps = {link_mbps}
 DiskMb = 0
@@ -247,6 +266,12 @@
     def is_running(self, name):
         return self.processes[name].poll() is None
 
+    def memory_mb(self, name):
+        """Resident memory of a process."""
+        with open(f"/proc/{self.processes[name].pid}/statm", encoding="ascii") as file:
+            pages = int(file.read().split()[1])
+        return pages * os.sysconf("SC_PAGE_SIZE") / 2**20
+
     async def ready(self, host, limit_s=10.0):
         """Waits for the readiness of the entry at `host`."""
         deadline = time.monotonic() + limit_s
