--- a/review/1/case.py
+++ b/review/1/case.py
@@ -25,6 +25,7 @@
 STORE_HOST = 30
 LATE_HOLD_S = 9.0
 LATE_ARM_S = 2.5
+LATE_ARMS = 2
 STOP_AFTER_S = 0.05
 RESTART_AFTER_S = 0.5
 
@@ -62,21 +63,19 @@
                      for index in range(RANKS)]
         self.group = group.Group(record, addresses, EXPERTS, PLACES, SPARE, PASS_S, COPY_S,
                                  self.delay)
-        self.changes = 0
-        self.first_version = None
-        self.arm_was_late = False
+        self.late_arms = 0
         self.holds_late = self.trouble
         self.second_version = None
         self.first_hold = asyncio.Event()
         self.answered = 0
 
     def delay(self, rank, order):
-        """Which orders get no answer and are carried out late: one arm order of the first change,
-        and the hold orders of the second one until the agent is stopped."""
+        """Which orders get no answer and are carried out late: two arm orders of the first
+        change, and the hold orders of the second one until the agent is stopped."""
         if not self.trouble:
             return None
-        if order["Op"] == "arm" and rank.index == 2 and not self.arm_was_late:
-            self.arm_was_late = True
+        if order["Op"] == "arm" and rank.index == 2 and self.late_arms < LATE_ARMS:
+            self.late_arms += 1
             return LATE_ARM_S
         if order["Op"] == "Hold" and self.second_version and self.holds_late:
             self.first_hold.set()
