Agent: a late hold before the pass of an armed change is released

Cause: a held pass was released only if all ranks are armed for it, or none is armed. A hold that takes effect late, in an idle group whose ranks are all armed for a later pass (a predecessor of the agent chose it three passes ahead, as its orders got lost), met neither.

Change: a hold is released once all ranks are armed for one pass, whichever is held: they switch together there, and no rank is armed for another one.

Evidence: late_hold_before_the_pass_of_an_armed_change_is_released failed before ("0 passes and 0 changes" in 10 s of requests) and passes now, with all others of tests/lockstep.rs.

--- a/crates/agateflow/src/lockstep/hold.rs
+++ b/crates/agateflow/src/lockstep/hold.rs
@@ -6,13 +6,10 @@
 use crate::unit;
 
 impl Agent {
-    /// Whether the held pass may start: all ranks switch in it, or none can.
+    /// Whether the held pass may start: all ranks switch in one pass, or none can.
     pub(super) fn can_release(&self, own: &Report, step: u64, now: unit::Millis) -> bool {
         let Some(reports) = self.all_reports(own) else { return false };
-        let armed = own.armed.filter(|armed| armed.step == step);
-        if let Some(armed) = armed
-            && reports.iter().all(|(report, _)| report.armed == Some(armed))
-        {
+        if own.armed.is_some() && reports.iter().all(|(report, _)| report.armed == own.armed) {
             return true;
         }
         if self.change.as_ref().is_some_and(|change| change.step == Some(step)) {
--- a/crates/agateflow/tests/lockstep.rs
+++ b/crates/agateflow/tests/lockstep.rs
@@ -736,6 +736,23 @@
     }
 }
 
+#[test]
+fn late_hold_before_the_pass_of_an_armed_change_is_released() {
+    let mut sim = idle_group(is_armed).unwrap();
+    let (epoch, version) = (sim.epoch, sim.ranks[0].armed.unwrap().version);
+    // All ranks are armed two passes later than usual, as by an agent whose orders get lost.
+    for rank in &mut sim.ranks {
+        rank.armed = Some(Armed { version, step: sim.step + 3 });
+    }
+    sim.agents = vec![None; RANKS];
+    sim.run(50).unwrap();
+    sim.execute_order(0, Order::Hold { epoch, step: sim.step + 1 });
+
+    let result = resume(&mut sim);
+
+    assert_eq!(result, Ok(()));
+}
+
 #[rstest]
 #[case::one_hot(vec![900.0, 10.0, 10.0, 10.0, 10.0, 10.0, 10.0, 10.0])]
 #[case::two_hot(vec![300.0, 300.0, 40.0, 40.0, 20.0, 20.0, 10.0, 10.0])]
