Agent: a pass is held once only, so that a late go ends no later hold

Cause: in an idle group no pass begins, so the coordinator could hold the same pass number for two changes in turn. An order that released the first hold was repeated, as its answer was lost, and is carried out late: it releases the second hold while ranks are still being armed. A restarted agent knows nothing of the first hold.

Change: the latest pass that was held is kept, and statuses carry it, as they carry the latest version; the coordinator chooses a later one. A process that starts assumes as many passes ahead as its predecessor can have held.

Evidence: late_go_does_not_release_the_hold_of_a_later_change, case by_a_predecessor, failed before ("pass 27 started with map versions [67829, 67829, 0, 67829, 67829, 67829]") and passes now. What is left: if all agents of a group restart twice while it is idle, none remembers. Builds before and after do not read each other's statuses.

--- a/crates/agateflow/src/lockstep/agent.rs
+++ b/crates/agateflow/src/lockstep/agent.rs
@@ -6,6 +6,7 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
+use super::coordinator::MAX_HOLD_LEAD_PASSES;
 use super::demand::Demand;
 use super::events::Event;
 use super::report::{Armed, Change, Load, Order, Plan, Report, Status};
@@ -104,6 +105,9 @@
     last_order: Option<(u64, Command, unit::Millis)>,
     pub(super) cooldown_from: unit::Millis,
     pub(super) max_version: u64,
+    /// Latest pass known to have been held in this epoch. A pass is held once only: a late order
+    /// to start it would end a second hold.
+    pub(super) max_hold: u64,
     pub(super) seed: u64,
     pub(super) events: Vec<Event>,
 }
@@ -130,6 +134,7 @@
             last_order: None,
             cooldown_from: unit::Millis::ZERO,
             max_version: 0,
+            max_hold: 0,
             seed,
             events: Vec::new(),
         }
@@ -161,7 +166,12 @@
         if self.report.as_ref().is_some_and(|(last, _)| last.epoch != report.epoch) {
             self.seen_hold = None;
             self.released = None;
+            self.max_hold = 0;
         }
+        if self.report.is_none() {
+            self.max_hold = report.step + MAX_HOLD_LEAD_PASSES;
+        }
+        self.max_hold = self.max_hold.max(report.held.unwrap_or(0));
         self.pass_durations.observe(report.step, now);
         self.report = Some((Rc::new(report), now));
         self.clear_settled_change(now);
@@ -179,6 +189,9 @@
             return;
         }
         self.max_version = self.max_version.max(status.max_version);
+        if status.report.epoch == own.epoch {
+            self.max_hold = self.max_hold.max(status.max_hold);
+        }
         if let Some(change) = &status.change {
             self.adopt_change(change.clone());
         }
@@ -269,6 +282,7 @@
             report: Report::clone(report),
             report_age: now.saturating_sub(*at),
             max_version: self.max_version,
+            max_hold: self.max_hold,
             change: self.change.as_ref().map(Change::without_map),
             has_map: self.change.as_ref().is_some_and(|change| !change.map.0.is_empty()),
             demand: with_load.then(|| Load::new(&self.aggregated_load(now))),
--- a/crates/agateflow/src/lockstep/coordinator.rs
+++ b/crates/agateflow/src/lockstep/coordinator.rs
@@ -20,6 +20,9 @@
 /// Hold lead while orders get lost: arming all ranks then takes over a pass.
 const LOSSY_HOLD_LEAD_PASSES: u64 = 3;
 
+/// Passes ahead of the last started one that an earlier process of the agent may have held.
+pub(super) const MAX_HOLD_LEAD_PASSES: u64 = LOSSY_HOLD_LEAD_PASSES;
+
 /// Fraction of the most loaded ranks' load that a change must save if passes last nearly the
 /// longest gap callers expect.
 const MIN_SAVING: f64 = 0.08;
@@ -66,13 +69,19 @@
                 }
             }
             // The pass started before the hold applied.
-            Some(hold_step) if step >= hold_step => self.hold_step = Some(step + lead),
+            Some(hold_step) if step >= hold_step => self.choose_hold(step + lead),
             Some(_) => {}
-            None if own.held.is_none() => self.hold_step = Some(step + lead),
+            None if own.held.is_none() => self.choose_hold(step + lead),
             None => {}
         }
     }
 
+    /// Chooses the next pass from `first` on that was never held.
+    fn choose_hold(&mut self, first: u64) {
+        self.max_hold = first.max(self.max_hold + 1);
+        self.hold_step = Some(self.max_hold);
+    }
+
     /// Plans a worthwhile change.
     pub(super) fn plan_change(&mut self, own: &Report, now: unit::Millis) {
         if now < self.cooldown_from + CHANGE_COOLDOWN || own.held.is_some() || own.armed.is_some() {
--- a/crates/agateflow/src/lockstep/messaging.rs
+++ b/crates/agateflow/src/lockstep/messaging.rs
@@ -149,4 +149,5 @@
     state(&last_status.report) != state(&status.report)
         || last_status.change != status.change
         || last_status.has_map != status.has_map
+        || last_status.max_hold != status.max_hold
 }
--- a/crates/agateflow/src/lockstep/report.rs
+++ b/crates/agateflow/src/lockstep/report.rs
@@ -147,6 +147,9 @@
     /// Highest version known to the agent.
     #[serde(rename = "top")]
     pub max_version: u64,
+    /// Latest pass that the agent knows to have been held in this epoch.
+    #[serde(rename = "hold")]
+    pub max_hold: u64,
     /// The change in progress, without its map.
     pub change: Option<Change>,
     /// Whether the agent has the map of the change.
--- a/crates/agateflow/tests/lockstep.rs
+++ b/crates/agateflow/tests/lockstep.rs
@@ -554,6 +554,7 @@
         report,
         report_age: Millis::ZERO,
         max_version: 0,
+        max_hold: 0,
         change,
         has_map,
         demand: None,
@@ -753,6 +754,38 @@
     assert_eq!(result, Ok(()));
 }
 
+#[rstest]
+#[case::by_the_same_agent(false)]
+#[case::by_a_predecessor(true)]
+fn late_go_does_not_release_the_hold_of_a_later_change(#[case] restarted: bool) {
+    let mut sim = Simulation::new(3, Faults::default());
+    sim.copy_ms[5] = LONG_COPY_MS;
+    while sim.ranks[4].prepared.is_none() {
+        sim.run(1).unwrap();
+    }
+    sim.is_idle = true;
+    let (epoch, step) = (sim.epoch, sim.step + 1);
+    // A late hold of an earlier change, released while rank 5 copies.
+    sim.execute_order(0, Order::Hold { epoch, step });
+    while sim.ranks[0].held.is_some() {
+        sim.run(1).unwrap();
+    }
+    if restarted {
+        sim.agents[0] = None;
+    }
+    while sim.ranks[0].held.is_none() {
+        sim.run(1).unwrap();
+    }
+    // The order that released it was sent twice and is now carried out once more.
+    sim.frozen[2] = sim.now + 150;
+    sim.run(3).unwrap();
+    sim.execute_order(0, Order::Go { epoch, step });
+
+    let result = resume(&mut sim);
+
+    assert_eq!(result, Ok(()));
+}
+
 #[rstest]
 #[case::one_hot(vec![900.0, 10.0, 10.0, 10.0, 10.0, 10.0, 10.0, 10.0])]
 #[case::two_hot(vec![300.0, 300.0, 40.0, 40.0, 20.0, 20.0, 10.0, 10.0])]
