Directory: lost contact no longer delays the removal of upstreams that leave

Cause: each failed call to the registry counted as an outage of the registry itself, and after it all removals were deferred for the 2 s in which live upstreams re-register. A channel that goes silent, a watch that is cut, a cut machine or a refusal by the registry are losses of this entry's contact; the registry goes on and its removals are true. Failures in a row restarted the 2 s, so with a watch cut now and then no removal applied at all. Removals that another entry reported met the same deferral.

Change: removals are in doubt only if registrations can have expired. That takes two missed renewals (the interval is a setting), so a shorter loss of contact defers nothing and restarts nothing. After a longer one, removals of up to half of a service's upstreams apply at once, as upstreams that leave cause them; removals of more are what an outage causes, and wait as before. A restore from a backup defers all, as before.

--- a/crates/agateflow/src/direct/directory.rs
+++ b/crates/agateflow/src/direct/directory.rs
@@ -1,7 +1,10 @@
 //! Known upstreams, as listed by the registry.
 //!
-//! Registrations expire while the registry is down. After an outage, removals take effect only once
-//! the registry has been up for [`REGISTRY_RECOVERY_TIME`], in which live upstreams re-register.
+//! A removal takes effect at once, unless an outage of the registry may have caused it:
+//! registrations expire while upstreams can't renew them. An entry can't tell an outage of the
+//! registry from a loss of its own contact. So after a loss that was long enough for registrations
+//! to expire, removals of most upstreams of a service are deferred for [`REGISTRY_RECOVERY_TIME`],
+//! in which live upstreams re-register. Removals of fewer are what upstreams that leave cause.
 //!
 //! The registry may be restored from an outdated backup. An upstream known to be draining then
 //! stays so, and one known to be removed counts as removed until it registers again.
@@ -17,6 +20,9 @@
 /// Time within which live upstreams re-register after the registry is back.
 pub const REGISTRY_RECOVERY_TIME: unit::Millis = unit::Millis::new(2_000);
 
+/// Renewals that an upstream misses, at least, before its registration expires.
+const MISSED_RENEWALS: u64 = 2;
+
 /// Time to remember removed upstreams. Stale registrations in a restored backup expire sooner.
 const TOMBSTONE_TTL: unit::Millis = unit::Millis::new(30_000);
 
@@ -128,13 +134,38 @@
     removal_pending: bool,
 }
 
+/// Why removals may be of upstreams that are alive.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Doubt {
+    /// The registry may have been down for longer than registrations last.
+    Outage,
+    /// The registry was restored from an outdated backup.
+    Restore,
+}
+
+/// What became of the removals of a batch.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Removals {
+    /// Upstreams that were removed.
+    pub applied: Vec<id::Vm>,
+    /// Upstreams that remain until the registry has recovered.
+    pub deferred: Vec<id::Vm>,
+}
+
 /// Upstreams known to one entry.
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
     listings: IndexMap<id::Vm, Listing>,
     revision: Revision,
-    registry_back_at: Option<unit::Millis>,
+    /// Interval at which upstreams renew their registrations.
+    renewal_interval: unit::Millis,
+    /// Last response of the registry.
+    registry_heard_at: Option<unit::Millis>,
     registry_down: bool,
+    /// Since when removals are in doubt, and why.
+    doubt: Option<(Doubt, unit::Millis)>,
+    /// Upstreams of each service that were removed since contact was lost.
+    removed_in_doubt: IndexMap<id::Service, usize>,
     tombstones: IndexMap<Incarnation, Tombstone>,
 }
 
@@ -144,49 +175,104 @@
         Self::default()
     }
 
+    /// Sets the interval at which upstreams renew their registrations.
+    pub fn with_renewal_interval(self, interval: unit::Millis) -> Self {
+        Self { renewal_interval: interval, ..self }
+    }
+
     /// Latest registry revision that the directory reflects.
     pub const fn revision(&self) -> Revision {
         self.revision
     }
 
     /// Records that the registry does not respond.
-    pub const fn registry_lost(&mut self) {
-        self.registry_down = true;
-    }
-
-    /// Records that the registry responds. Returns whether it was down before.
-    pub const fn registry_reachable(&mut self, now: unit::Millis) -> bool {
-        let was_down = self.registry_down;
-        if was_down {
-            self.registry_down = false;
-            self.registry_back_at = Some(now);
+    pub fn registry_lost(&mut self) {
+        if !std::mem::replace(&mut self.registry_down, true) {
+            self.removed_in_doubt.clear();
         }
-        was_down
     }
 
-    fn is_settled(&self, now: unit::Millis) -> bool {
-        !self.registry_down
-            && self.registry_back_at.is_none_or(|at| now >= at + REGISTRY_RECOVERY_TIME)
+    /// Records a response of the registry. Returns the time since the one before, if it did not
+    /// respond in between.
+    pub fn registry_reachable(&mut self, now: unit::Millis) -> Option<unit::Millis> {
+        let silence = self.registry_heard_at.replace(now).map_or(now, |at| now.saturating_sub(at));
+        if !std::mem::take(&mut self.registry_down) {
+            return None;
+        }
+        if silence.get() >= self.renewal_interval.get() * MISSED_RENEWALS {
+            self.doubt = Some((Doubt::Outage, now));
+        }
+        Some(silence)
     }
 
     /// Records a restore from an outdated backup: upstreams missing from its list may be alive.
     pub const fn registry_restored(&mut self, now: unit::Millis) {
         self.registry_down = false;
-        self.registry_back_at = Some(now);
+        self.registry_heard_at = Some(now);
+        self.doubt = Some((Doubt::Restore, now));
+    }
+
+    /// Why removals are in doubt, if they are.
+    fn doubt(&self, now: unit::Millis) -> Option<Doubt> {
+        let recovering = self.doubt.filter(|(_, since)| now < *since + REGISTRY_RECOVERY_TIME);
+        let lost = self.registry_down.then_some(Doubt::Outage);
+        recovering.map(|(doubt, _)| doubt).or(lost)
     }
 
     /// Applies one change made at `revision`.
     pub fn apply(&mut self, change: Change, revision: Revision, now: unit::Millis) {
+        self.apply_all(vec![change], revision, now);
+    }
+
+    /// Applies changes that were made up to `revision`.
+    pub fn apply_all(
+        &mut self,
+        changes: Vec<Change>,
+        revision: Revision,
+        now: unit::Millis,
+    ) -> Removals {
         self.revision = self.revision.max(revision);
-        match change {
-            Change::Listed(upstream) => self.upsert(upstream),
-            Change::Removed(vm) if self.is_settled(now) => self.remove(&vm, now),
-            Change::Removed(vm) => {
-                if let Some(listing) = self.listings.get_mut(&vm) {
-                    listing.removal_pending = true;
+        let mut removed = Vec::new();
+        for change in changes {
+            match change {
+                Change::Listed(upstream) => self.upsert(upstream),
+                Change::Removed(vm) => {
+                    if let Some(listing) = self.listings.get_mut(&vm) {
+                        listing.removal_pending = true;
+                        removed.push(vm);
+                    }
                 }
             }
         }
+        removed.retain(|vm| self.listings.get(vm).is_some_and(|listing| listing.removal_pending));
+        let doubt = self.doubt(now);
+        let (deferred, applied) = removed
+            .into_iter()
+            .partition(|vm| doubt.is_some_and(|doubt| self.is_deferred(vm, doubt)));
+        let removals = Removals { applied, deferred };
+        for vm in &removals.applied {
+            self.remove(vm, now);
+        }
+        if doubt.is_none() {
+            self.removed_in_doubt.clear();
+        }
+        removals
+    }
+
+    /// Whether an outage may have caused the removal of `vm`: then its service loses most others
+    /// as well.
+    fn is_deferred(&self, vm: &id::Vm, doubt: Doubt) -> bool {
+        let Some(listing) = self.listings.get(vm) else { return false };
+        let service = &listing.upstream.service;
+        let of_service = self.listings.values().filter(|other| other.upstream.service == *service);
+        let removed = self.removed_in_doubt.get(service).copied().unwrap_or(0);
+        let (gone, all) = of_service.fold((removed, removed), |(gone, all), other| {
+            (gone + usize::from(other.removal_pending), all + 1)
+        });
+        match doubt {
+            Doubt::Restore => true,
+            Doubt::Outage => 2 * gone > all,
+        }
     }
 
     /// Adds or updates an upstream. Draining is final for an incarnation.
@@ -207,24 +293,27 @@
             let draining = listing.upstream.state == State::Draining;
             let tombstone = Tombstone { removed_at: now, draining };
             self.tombstones.insert(listing.upstream.incarnation(), tombstone);
+            *self.removed_in_doubt.entry(listing.upstream.service).or_default() += 1;
         }
     }
 
     /// Applies a full list as of `revision`.
-    pub fn replace(&mut self, listed: Vec<Upstream>, revision: Revision, now: unit::Millis) {
-        let names: Vec<id::Vm> = self.listings.keys().cloned().collect();
-        for vm in names {
-            if !listed.iter().any(|upstream| upstream.vm == vm) {
-                self.apply(Change::Removed(vm), revision, now);
-            }
-        }
+    pub fn replace(
+        &mut self,
+        listed: Vec<Upstream>,
+        revision: Revision,
+        now: unit::Millis,
+    ) -> Removals {
+        let unlisted = |vm: &&id::Vm| !listed.iter().any(|upstream| upstream.vm == **vm);
+        let removed = self.listings.keys().filter(unlisted).cloned().map(Change::Removed);
+        let mut changes: Vec<Change> = removed.collect();
         // A restored backup lists removed upstreams until their registrations expire.
-        let settled = self.is_settled(now);
-        for upstream in listed {
-            if settled || !self.tombstones.contains_key(&upstream.incarnation()) {
-                self.apply(Change::Listed(upstream), revision, now);
-            }
-        }
+        let restored = self.doubt(now) == Some(Doubt::Restore);
+        let stale =
+            |upstream: &Upstream| restored && self.tombstones.contains_key(&upstream.incarnation());
+        let current = listed.into_iter().filter(|upstream| !stale(upstream));
+        changes.extend(current.map(Change::Listed));
+        self.apply_all(changes, revision, now)
     }
 
     /// Marks upstreams as draining that said so in a response, to this entry or another one. Returns
@@ -250,14 +339,15 @@
 
     /// Removes upstreams whose removal was deferred and that did not re-register in time.
     pub fn remove_pending(&mut self, now: unit::Millis) -> Vec<id::Vm> {
-        if !self.is_settled(now) {
+        if self.doubt(now).is_some() {
             return Vec::new();
         }
-        let removal_pending = self.listings.iter().filter(|(_, listing)| listing.removal_pending);
-        let removed: Vec<id::Vm> = removal_pending.map(|(vm, _)| vm.clone()).collect();
+        let pending = self.listings.iter().filter(|(_, listing)| listing.removal_pending);
+        let removed: Vec<id::Vm> = pending.map(|(vm, _)| vm.clone()).collect();
         for vm in &removed {
             self.remove(vm, now);
         }
+        self.removed_in_doubt.clear();
         self.tombstones.retain(|_, tombstone| now < tombstone.removed_at + TOMBSTONE_TTL);
         removed
     }
--- a/crates/agateflow/src/event.rs
+++ b/crates/agateflow/src/event.rs
@@ -105,6 +105,8 @@
     612 SettingsUnreadable Error "settings not readable";
     /// A source of the platform was restored from an older copy.
     613 SourceRestored Warning "source restored from a copy";
+    /// An outage of the registry may have removed an upstream; it remains until it is certain.
+    614 RemovalDeferred Warning "upstream removal deferred";
     /// The agent of a rank planned a change of the expert map.
     620 MapPlanned Info "expert map planned";
     /// A new expert map is in use.
--- a/crates/agateflow/tests/direct.rs
+++ b/crates/agateflow/tests/direct.rs
@@ -91,6 +91,94 @@
     assert!(directory.get(&vm("alive")).is_some());
 }
 
+/// A directory of three upstreams that has just heard from the registry.
+fn directory_of_three() -> Directory {
+    let mut directory = Directory::new().with_renewal_interval(ms(1_200));
+    directory.registry_reachable(ms(0));
+    for name in ["a", "b", "c"] {
+        directory.apply(Change::Listed(upstream(name)), rev(1), ms(0));
+    }
+    directory
+}
+
+fn removed(names: &[&str]) -> Vec<Change> {
+    names.iter().map(|name| Change::Removed(vm(name))).collect()
+}
+
+#[rstest]
+#[case::one_after_a_short_loss(2_300, &["c"])]
+#[case::all_after_a_short_loss(2_300, &["a", "b", "c"])]
+#[case::one_after_a_long_loss(9_000, &["c"])]
+fn lost_contact_does_not_delay_the_removal_of_upstreams_that_leave(
+    #[case] silence_ms: u64,
+    #[case] leaving: &[&str],
+) {
+    let mut directory = directory_of_three();
+    directory.registry_lost();
+    directory.registry_reachable(ms(silence_ms));
+
+    directory.apply_all(removed(leaving), rev(2), ms(silence_ms));
+
+    let in_use = leaving.iter().filter(|name| directory.get(&vm(name)).is_some());
+    assert_eq!(in_use.count(), 0);
+}
+
+#[rstest]
+#[case::in_one_batch(&[&["a", "b"][..]])]
+#[case::one_after_the_other(&[&["a"][..], &["b"][..]])]
+fn removals_of_most_upstreams_after_a_long_loss_of_contact_are_deferred(
+    #[case] batches: &[&[&str]],
+) {
+    let mut directory = directory_of_three();
+    directory.registry_lost();
+    directory.registry_reachable(ms(9_000));
+
+    for batch in batches {
+        directory.apply_all(removed(batch), rev(2), ms(9_000));
+    }
+
+    let service = service("s");
+    assert!(directory.ready(&service).count() >= 2);
+}
+
+#[test]
+fn repeated_losses_of_contact_do_not_delay_a_removal_again_and_again() {
+    let mut directory = directory_of_three();
+    directory.registry_lost();
+    directory.registry_reachable(ms(9_000));
+    directory.apply_all(removed(&["a", "b", "c"]), rev(2), ms(9_000));
+
+    for turn in 1..6 {
+        directory.registry_lost();
+        directory.registry_reachable(ms(9_000 + turn * 400));
+    }
+
+    assert_eq!(directory.remove_pending(ms(11_000)).len(), 3);
+}
+
+#[test]
+fn removal_that_another_entry_reports_applies_while_the_registry_is_unreachable() {
+    let mut directory = directory_of_three();
+    directory.registry_lost();
+
+    directory.replace(vec![upstream("a"), upstream("b")], rev(2), ms(5_000));
+
+    assert!(directory.get(&vm("c")).is_none());
+}
+
+#[test]
+fn upstream_removed_after_lost_contact_is_listed_again_by_a_full_read() {
+    let mut directory = directory_of_three();
+    directory.registry_lost();
+    directory.registry_reachable(ms(9_000));
+    directory.apply_all(removed(&["c"]), rev(2), ms(9_000));
+
+    let listed = ["a", "b", "c"].map(upstream).to_vec();
+    directory.replace(listed, rev(3), ms(9_500));
+
+    assert!(directory.get(&vm("c")).is_some());
+}
+
 #[test]
 fn registry_restored_from_a_backup_revives_nothing_and_removes_nothing_alive() {
     let draining = || Upstream { state: State::Draining, ..upstream("leaves") };
--- a/crates/agateflowd/src/direct/entry.rs
+++ b/crates/agateflowd/src/direct/entry.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Instant;
 
-use agateflow::direct::directory::{Change, Directory, Revision, Upstream};
+use agateflow::direct::directory::{Change, Directory, Removals, Revision, Upstream};
 use agateflow::direct::group::{self, Group};
 use agateflow::direct::load::Load;
 use agateflow::direct::{budget, config, peer, quarantine, rate, suspect};
@@ -42,6 +42,8 @@
     pub retry_limits: budget::Limits,
     /// Time from the shutdown signal until the process is killed.
     pub grace_period: unit::Millis,
+    /// Interval at which upstreams renew their registrations.
+    pub renewal_interval: unit::Millis,
 }
 
 /// A load balancer process.
@@ -94,13 +96,14 @@
 impl Entry {
     /// Creates an entry without configuration or upstreams.
     pub fn new(options: Options, dialect: Box<dyn Dialect>, logger: slog::Logger) -> Rc<Self> {
+        let directory = Directory::new().with_renewal_interval(options.renewal_interval);
         let peers = peer::Table::new(options.peer_address, options.seeds.iter().copied());
         Rc::new(Self {
             incarnation: id::Incarnation::new(rand::random()),
             dialect,
             pool: Rc::default(),
             logger,
-            directory: RefCell::default(),
+            directory: RefCell::new(directory),
             load: RefCell::default(),
             peers: RefCell::new(peers),
             agents: RefCell::default(),
@@ -157,20 +160,22 @@
 
     /// Applies a registry change.
     pub fn apply_change(self: &Rc<Self>, change: Change, revision: Revision) {
-        match &change {
-            Change::Listed(upstream) => event!(self.logger, Event::UpstreamListed;
+        self.apply_changes(vec![change], revision);
+    }
+
+    /// Applies registry changes that were made up to `revision`.
+    pub fn apply_changes(self: &Rc<Self>, changes: Vec<Change>, revision: Revision) {
+        for change in &changes {
+            let Change::Listed(upstream) = change else { continue };
+            event!(self.logger, Event::UpstreamListed;
                 "upstream" => %upstream.vm, "service" => %upstream.service,
                 "address" => %upstream.address, "state" => ?upstream.state, "open" => upstream.open,
-                "revision" => %revision),
-            Change::Removed(vm) => event!(self.logger, Event::UpstreamRemoved;
-                "upstream" => %vm, "revision" => %revision),
-        }
-        let now = self.now();
-        if let Change::Listed(upstream) = &change {
+                "revision" => %revision);
             let before = self.directory.borrow().get(&upstream.vm).cloned();
             self.end_outage_if_reopened(before.as_ref(), upstream);
         }
-        self.directory.borrow_mut().apply(change, revision, now);
+        let removals = self.directory.borrow_mut().apply_all(changes, revision, self.now());
+        self.log_removals(&removals, revision);
         self.heartbeat_trigger.notify_one();
         self.dispatch_all();
     }
@@ -184,15 +189,24 @@
     ) {
         event!(self.logger, Event::DirectoryRead; "upstreams" => upstreams.len(),
             "revision" => %revision, "source" => source);
-        let now = self.now();
         for upstream in &upstreams {
             let before = self.directory.borrow().get(&upstream.vm).cloned();
             self.end_outage_if_reopened(before.as_ref(), upstream);
         }
-        self.directory.borrow_mut().replace(upstreams, revision, now);
+        let removals = self.directory.borrow_mut().replace(upstreams, revision, self.now());
+        self.log_removals(&removals, revision);
         self.dispatch_all();
     }
 
+    fn log_removals(&self, removals: &Removals, revision: Revision) {
+        for vm in &removals.applied {
+            event!(self.logger, Event::UpstreamRemoved; "upstream" => %vm, "revision" => %revision);
+        }
+        for vm in &removals.deferred {
+            event!(self.logger, Event::RemovalDeferred; "upstream" => %vm, "revision" => %revision);
+        }
+    }
+
     /// Whether the entry can serve requests and is not shutting down.
     pub fn is_ready(&self) -> bool {
         self.table.borrow().is_some()
--- a/crates/agateflowd/tests/directenv/mod.rs
+++ b/crates/agateflowd/tests/directenv/mod.rs
@@ -344,6 +344,7 @@
             fixed_allowance: 94.0,
         },
         grace_period: Millis::new(8_000),
+        renewal_interval: Millis::new(1_200),
     }
 }
 
