Entry: a copy of an earlier refusal no longer answers another request

Operators of similar systems reported it; a test shows that it could happen here: a faulty upstream sends an earlier refusal once more on a kept connection, and the caller of the next request is told 503 'not run' while it runs.

Cause: a refusal needs no id to be believed, so a copy without one answered the next request of its connection; a copy with an id was believed if the same request had gone out on that connection again.

Change: on a connection in use again, a refusal that doesn't name its request is no answer to it (502 for a request that may run once; others go on). Connections remember the requests refused on them, 16 at most, and don't carry these again.

--- a/crates/agateflowd/src/direct/adapter.rs
+++ b/crates/agateflowd/src/direct/adapter.rs
@@ -60,6 +60,9 @@
     /// Classifies the response to a request.
     fn classify_response(&self, head: &response::Parts, info: &Head) -> Classification;
 
+    /// Whether the response names the request that it answers.
+    fn names_request(&self, head: &response::Parts, info: &Head) -> bool;
+
     /// Reads what the upstream says of itself in a response.
     fn parse_notice(&self, head: &response::Parts) -> Notice;
 }
--- a/crates/agateflowd/src/direct/exchange.rs
+++ b/crates/agateflowd/src/direct/exchange.rs
@@ -9,7 +9,7 @@
 use agateflow::event::Event;
 use agateflow::unit;
 use bytes::Bytes;
-use http::{Response, Uri};
+use http::{Response, Uri, response};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use tokio::time;
@@ -90,7 +90,8 @@
         let permit = permit.map_err(Error::Refused)?;
         let upstream = permit.upstream.clone();
         let run_once = !self.request.route.kind.may_repeat();
-        let connection = self.entry.pool.acquire(upstream.address, run_once).await;
+        let id = &self.request.info.id;
+        let connection = self.entry.pool.acquire(upstream.address, run_once, id).await;
         let mut connection =
             connection.map_err(|error| self.record_unsent(&upstream, &error, false))?;
         let upstream_request = self.outgoing_request(&upstream)?;
@@ -233,10 +234,24 @@
         silence_limit.duration()
     }
 
+    /// Classifies a response. On a connection in use again, a refusal that does not name the
+    /// request may be a copy of an earlier one.
+    fn classify(&self, head: &response::Parts, reused: bool) -> Classification {
+        let (dialect, info) = (&self.entry.dialect, &self.request.info);
+        match dialect.classify_response(head, info) {
+            Classification::NotRun | Classification::Misdirected
+                if reused && !dialect.names_request(head, info) =>
+            {
+                Classification::Foreign
+            }
+            classification => classification,
+        }
+    }
+
     async fn check_response(&mut self, exchange: Exchange) -> Result<Exchange, Error> {
         let (head, body) = exchange.response.into_parts();
         let upstream = exchange.permit.upstream.clone();
-        let classification = self.entry.dialect.classify_response(&head, &self.request.info);
+        let classification = self.classify(&head, exchange.connection.is_reused());
         let notice = match classification {
             Classification::Own | Classification::NotRun => {
                 self.entry.record_notice(&head, &exchange.permit)
@@ -261,7 +276,7 @@
             "upstream" => %upstream.vm, "status" => head.status.as_u16(),
             "answer" => ?classification);
         if classification != Classification::Foreign && is_body_complete(body).await {
-            exchange.connection.release();
+            exchange.connection.release_after_refusal(self.request.info.id.clone());
         }
         if classification == Classification::Misdirected || classification == Classification::NotRun
         {
--- a/crates/agateflowd/src/direct/pool.rs
+++ b/crates/agateflowd/src/direct/pool.rs
@@ -29,6 +29,9 @@
 /// it meanwhile, it is unknown whether the request ran.
 const RUN_ONCE_MAX_IDLE: Duration = Duration::from_millis(150);
 
+/// Requests refused on a connection after which it is closed.
+const MAX_REFUSED: usize = 16;
+
 /// Why a request got no response.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -55,6 +58,7 @@
     task: task::AbortHandle,
     idle_since: Instant,
     idle_timeout: Duration,
+    refused: Vec<Box<str>>,
 }
 
 impl Idle {
@@ -82,11 +86,14 @@
     address: SocketAddr,
     reused: bool,
     idle_timeout: Duration,
+    /// Ids of requests that were refused on the connection.
+    refused: Vec<Box<str>>,
     pool: Rc<Pool>,
 }
 
 impl Pool {
-    /// Takes an idle connection or opens one. With `run_once`, an idle one must be recently used.
+    /// Takes an idle connection or opens one for the request `id`. With `run_once`, an idle one must
+    /// be recently used. The request was refused on none: a copy of the refusal could answer it.
     ///
     /// # Errors
     ///
@@ -95,27 +102,31 @@
         self: &Rc<Self>,
         address: SocketAddr,
         run_once: bool,
+        id: &str,
     ) -> Result<Connection, Error> {
-        if let Some(idle) = self.take_idle(address, run_once) {
+        if let Some(idle) = self.take_idle(address, run_once, id) {
             return Ok(Connection {
                 sender: Some(idle.sender),
                 task: idle.task,
                 address,
                 reused: true,
                 idle_timeout: idle.idle_timeout,
+                refused: idle.refused,
                 pool: self.clone(),
             });
         }
         self.connect(address).await
     }
 
-    fn take_idle(&self, address: SocketAddr, run_once: bool) -> Option<Idle> {
+    fn take_idle(&self, address: SocketAddr, run_once: bool, id: &str) -> Option<Idle> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&address)?;
         let now = Instant::now();
         connections.retain(|idle| idle.is_usable(now) || idle.close());
         let is_eligible = |idle: &Idle| {
-            idle.sender.is_ready() && (!run_once || now < idle.idle_since + RUN_ONCE_MAX_IDLE)
+            idle.sender.is_ready()
+                && (!run_once || now < idle.idle_since + RUN_ONCE_MAX_IDLE)
+                && !idle.refused.iter().any(|refused| **refused == *id)
         };
         let index = connections.iter().rposition(is_eligible)?;
         Some(connections.swap_remove(index))
@@ -130,6 +141,7 @@
             address,
             reused: false,
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
+            refused: Vec::new(),
             pool: self.clone(),
         })
     }
@@ -182,6 +194,14 @@
         }
     }
 
+    /// Returns the connection to the pool after it carried a refusal of the request `id`.
+    pub fn release_after_refusal(mut self, id: Box<str>) {
+        if self.refused.len() < MAX_REFUSED {
+            self.refused.push(id);
+            self.release();
+        }
+    }
+
     /// Returns the connection to the pool. Its response must have been read to the end.
     pub fn release(mut self) {
         let Some(sender) = self.sender.take() else { return };
@@ -193,6 +213,7 @@
             task: self.task.clone(),
             idle_since: Instant::now(),
             idle_timeout: self.idle_timeout,
+            refused: std::mem::take(&mut self.refused),
         };
         self.pool.idle.borrow_mut().entry(self.address).or_default().push(idle);
     }
--- a/crates/agateflowd/tests/directenv/mod.rs
+++ b/crates/agateflowd/tests/directenv/mod.rs
@@ -68,6 +68,10 @@
         }
     }
 
+    fn names_request(&self, head: &response::Parts, info: &Head) -> bool {
+        header_text(&head.headers, "id") == Some(&*info.id)
+    }
+
     fn parse_notice(&self, head: &response::Parts) -> Notice {
         let rate_limit = header_text(&head.headers, "rate-limit");
         let rest = header_text(&head.headers, "rest-ms").and_then(|rest| rest.parse().ok());
