Streams: an error of the next upstream no longer reaches the middle of a stream

Cause: each successful response was taken for the rest of the stream, whatever its type; an empty one ended it as complete. And what ended with a blank line passed as an event, also without an id: text, or a whole head behind the events of a stream with neither length nor chunks.

Change: only a stream of events resumes a stream. Each event must have an id that follows the last one, each line must be a field or a comment. What fails is cut or goes on elsewhere, and the position to resume after is no longer moved by a part that was not forwarded. The largest event id no longer overflows.

--- a/crates/agateflow/src/direct/events.rs
+++ b/crates/agateflow/src/direct/events.rs
@@ -19,9 +19,21 @@
         /// Id found.
         found: u64,
     },
+    /// An event without an id: a position to resume after could not be told.
+    #[error("event without an id after id {last:?}")]
+    NoId {
+        /// Id of the previous event.
+        last: Option<u64>,
+    },
+    /// A line that is neither a field nor a comment, such as the first line of a response.
+    #[error("line that is no field after id {last:?}")]
+    NoField {
+        /// Id of the previous event.
+        last: Option<u64>,
+    },
 }
 
-/// Splits a stream at event boundaries and checks that ids are consecutive.
+/// Splits a stream at event boundaries and checks that all parts are events with consecutive ids.
 #[derive(Debug, Default)]
 pub struct Splitter {
     partial: BytesMut,
@@ -64,20 +76,35 @@
             };
         };
         let complete = self.partial.split_to(end).freeze();
-        self.check_ids(&complete)?;
+        self.last_id = check_events(&complete, self.last_id)?;
         Ok(complete)
     }
+}
 
-    fn check_ids(&mut self, complete: &[u8]) -> Result<(), Error> {
-        for line in complete.split(|&byte| byte == b'\n') {
-            let Some(found) = event_id(line) else { continue };
-            if let Some(last) = self.last_id.filter(|last| found != last + 1) {
+/// Checks complete events that follow the event `last`; returns the id of the last one.
+fn check_events(complete: &[u8], mut last: Option<u64>) -> Result<Option<u64>, Error> {
+    let mut has_field = false;
+    let mut has_id = false;
+    for line in complete.split(|&byte| byte == b'\n') {
+        let line = line.strip_suffix(b"\r").unwrap_or(line);
+        if line.is_empty() {
+            if has_field && !has_id {
+                return Err(Error::NoId { last });
+            }
+            (has_field, has_id) = (false, false);
+            continue;
+        }
+        let colon = line.iter().position(|&byte| byte == b':').ok_or(Error::NoField { last })?;
+        has_field |= colon > 0;
+        if let Some(found) = event_id(line) {
+            if let Some(last) = last.filter(|last| last.checked_add(1) != Some(found)) {
                 return Err(Error::Gap { last, found });
             }
-            self.last_id = Some(found);
+            last = Some(found);
+            has_id = true;
         }
-        Ok(())
     }
+    Ok(last)
 }
 
 /// Offset behind the last blank line, searching from `from`.
--- a/crates/agateflowd/src/direct/call.rs
+++ b/crates/agateflowd/src/direct/call.rs
@@ -308,7 +308,8 @@
     }
 }
 
-fn is_event_stream(response: &Response<Incoming>) -> bool {
+/// Whether a response is a stream of events.
+pub fn is_event_stream(response: &Response<Incoming>) -> bool {
     let kind = response.headers().get(http::header::CONTENT_TYPE);
     let is_event_stream =
         kind.is_some_and(|kind| kind.as_bytes().starts_with(b"text/event-stream"));
--- a/crates/agateflowd/src/direct/stream.rs
+++ b/crates/agateflowd/src/direct/stream.rs
@@ -18,7 +18,7 @@
 use hyper::body::{Frame, Incoming};
 use tokio::time;
 
-use super::call::Call;
+use super::call::{self, Call};
 use super::exchange::{self, Exchange, STREAM_SILENCE_TIMEOUT};
 use super::permit::Permit;
 use super::pool;
@@ -231,7 +231,7 @@
         end = match time::timeout_at(deadline, call.send_attempt()).await {
             Err(_) | Ok(Err(exchange::Error::Refused(_))) => return None,
             Ok(Err(exchange::Error::Ended(end))) => end,
-            Ok(Ok(exchange)) if exchange.response.status().is_success() => {
+            Ok(Ok(exchange)) if call::is_event_stream(&exchange.response) => {
                 return Some(exchange);
             }
             Ok(Ok(_)) => return None,
