Pool: an absurd idle timeout of an upstream no longer ends tasks of the entry

Cause: the idle timeout that an upstream names was added to an instant, whatever it was; the sum overflows and panics. The panic ends the task of the caller's channel, each time the idle connection is met, and the housekeeping task for good.

Change: an idle timeout counts as an hour at most. Other times that come from outside are in milliseconds, whose sums saturate.

Evidence: absurd_idle_timeout_of_an_upstream_closes_no_later_request failed before ("overflow when adding duration to instant", request 1 closed without an answer) and passes now. absurd_rest_of_an_upstream_ends_no_task, the same with the rest that an upstream asks for, passed before.

--- a/crates/agateflowd/src/direct/pool.rs
+++ b/crates/agateflowd/src/direct/pool.rs
@@ -22,6 +22,9 @@
 /// Idle timeout of a connection whose upstream announces none.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// Longest idle timeout that an upstream is taken to have.
+const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(3_600);
+
 /// Margin before the upstream's own idle timeout at which reuse ends.
 const IDLE_MARGIN: Duration = Duration::from_millis(600);
 
@@ -235,7 +238,9 @@
         parts.find_map(|part| part.strip_prefix("timeout=")?.parse::<u64>().ok())
     });
     match seconds {
-        Some(seconds) => Duration::from_secs(seconds).saturating_sub(IDLE_MARGIN),
+        Some(seconds) => {
+            Duration::from_secs(seconds).min(MAX_IDLE_TIMEOUT).saturating_sub(IDLE_MARGIN)
+        }
         None => DEFAULT_IDLE_TIMEOUT,
     }
 }
--- a/crates/agateflowd/tests/direct_notice.rs
+++ b/crates/agateflowd/tests/direct_notice.rs
@@ -158,3 +158,47 @@
         assert_eq!(leaving.request_count(), 1);
     });
 }
+
+/// Response that names an idle timeout of `seconds`.
+fn response_with_keep_alive(id: &str, seconds: &str) -> String {
+    let keep_alive = format!("proof: p\r\nkeep-alive: timeout={seconds}");
+    ok_response(id, "x").replace("proof: p", &keep_alive)
+}
+
+#[test]
+fn absurd_idle_timeout_of_an_upstream_closes_no_later_request() {
+    run_local(async {
+        let respond = |id: &str| response_with_keep_alive(id, "18446744073709551615");
+        let upstream = Server::start_echoing("u", respond).await;
+        let fixture = Fixture::start(&[&upstream]);
+        let housekeeping = task::spawn_local(peer_sync::run_housekeeping(fixture.entry.clone()));
+
+        for id in 0..4 {
+            let got = fixture.call("/safe/", &id.to_string()).await;
+            assert!(got.starts_with("HTTP/1.1 200"), "request {id}: {got:?}");
+        }
+
+        time::sleep(Duration::from_millis(150)).await;
+        assert!(!housekeeping.is_finished(), "housekeeping has ended");
+    });
+}
+
+#[test]
+fn absurd_rest_of_an_upstream_ends_no_task() {
+    run_local(async {
+        let respond = |_: &str| {
+            refusal_response().replace("not-run: 1", "not-run: 1\r\nrest-ms: 18446744073709551615")
+        };
+        let resting = Server::start_echoing("resting", respond).await;
+        let fixture = Fixture::start(&[&resting]);
+        let housekeeping = task::spawn_local(peer_sync::run_housekeeping(fixture.entry.clone()));
+
+        for id in 0..3 {
+            let got = fixture.call("/safe/", &id.to_string()).await;
+            assert!(got.starts_with("HTTP/1.1 503"), "request {id}: {got:?}");
+        }
+
+        time::sleep(Duration::from_millis(150)).await;
+        assert!(!housekeeping.is_finished(), "housekeeping has ended");
+    });
+}
