Log what an upstream's response says where it is refused, failed or not taken

Events 701, 703, 704 and 713 now carry the signs of the last error (status, the request and the upstream that it names, mark, proof), 713 whether the connection was in use again; 502 is new for engines of the former data path. The platform's headers are read into response::Signs, and what follows from them is decided in agateflow::direct::response, as before: this replaces Dialect::classify_response and names_request, which read the id twice.

--- a/crates/agateflow/src/direct/mod.rs
+++ b/crates/agateflow/src/direct/mod.rs
@@ -15,6 +15,7 @@
 pub mod quarantine;
 pub mod queue;
 pub mod rate;
+pub mod response;
 pub mod share;
 pub mod stall;
 pub mod suspect;
--- /dev/null
+++ b/crates/agateflow/src/direct/response.rs
@@ -0,0 +1,93 @@
+//! Decides what the head of an upstream's response says of a request.
+
+use std::fmt;
+
+const STATUS_MISDIRECTED: u16 = 421;
+
+/// Which request a response names.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Subject {
+    /// The one that was sent.
+    Own,
+    /// Another one.
+    Other,
+    /// None.
+    Unnamed,
+}
+
+/// Which upstream a response names as its sender.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sender {
+    /// The one that the request was meant for.
+    Expected,
+    /// Another one.
+    Other,
+    /// None.
+    Unnamed,
+}
+
+/// What the head of a response says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Signs {
+    /// HTTP status.
+    pub status: u16,
+    /// The request that it names.
+    pub subject: Subject,
+    /// The upstream that it names.
+    pub sender: Sender,
+    /// Whether it states that the upstream did not run the request.
+    pub not_run: bool,
+    /// Whether it carries proof that an upstream produced it.
+    pub proof: bool,
+}
+
+/// Classification of an upstream's response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Classification {
+    /// From the upstream that ran the request.
+    Own,
+    /// The upstream did not run the request.
+    NotRun,
+    /// Another upstream has the address, and did not run the request.
+    Misdirected,
+    /// Belongs to another request, or lacks proof that an upstream produced it.
+    Foreign,
+}
+
+impl Signs {
+    /// Classifies the response. On a connection in use again, `reused`, a refusal that does not name
+    /// the request may be a copy of an earlier one.
+    pub fn classify(&self, reused: bool) -> Classification {
+        if self.subject == Subject::Other {
+            return Classification::Foreign;
+        }
+        if self.status == STATUS_MISDIRECTED || self.not_run {
+            return self.classify_refusal(reused);
+        }
+        let is_success = (200..300).contains(&self.status);
+        match self.subject == Subject::Own && (self.proof || !is_success) {
+            true => Classification::Own,
+            false => Classification::Foreign,
+        }
+    }
+
+    fn classify_refusal(&self, reused: bool) -> Classification {
+        if reused && self.subject != Subject::Own {
+            return Classification::Foreign;
+        }
+        match self.status {
+            STATUS_MISDIRECTED => Classification::Misdirected,
+            _ => Classification::NotRun,
+        }
+    }
+}
+
+impl fmt::Display for Signs {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { status, subject, sender, not_run, proof } = self;
+        write!(
+            f,
+            "status {status}, subject {subject:?}, sender {sender:?}, not run {not_run}, proof {proof}"
+        )
+    }
+}
--- a/crates/agateflow/src/event.rs
+++ b/crates/agateflow/src/event.rs
@@ -77,6 +77,8 @@
     500 EngineFailed Error "engine failed in the middle of an answer";
     /// The engine accepts no connection.
     501 EngineUnreachable Warning "engine unreachable";
+    /// The engine answered an attempt with an error.
+    502 EngineError Info "engine answered with an error";
     /// A configuration of the platform is in force at an entry.
     600 VersionInForce Info "configuration version in force";
     /// An upstream was added to the registry or changed there.
--- a/crates/agateflowd/src/direct/adapter.rs
+++ b/crates/agateflowd/src/direct/adapter.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use agateflow::direct::response::Signs;
 use agateflow::lockstep::report::{Order, Report};
 use agateflow::{id, unit};
 use http::{HeaderMap, request, response};
@@ -36,19 +37,6 @@
     pub last_event: Option<u64>,
 }
 
-/// Classification of an upstream's response.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Classification {
-    /// From the upstream that ran the request.
-    Own,
-    /// The upstream did not run the request.
-    NotRun,
-    /// Another upstream has the address, and did not run the request.
-    Misdirected,
-    /// Belongs to another request, or lacks proof that an upstream produced it.
-    Foreign,
-}
-
 /// Header format of a platform.
 pub trait Dialect {
     /// Reads a caller's request.
@@ -57,11 +45,8 @@
     /// Writes `forward` into the headers of a request to an upstream.
     fn write_forward(&self, headers: &mut HeaderMap, forward: &Forward<'_>);
 
-    /// Classifies the response to a request.
-    fn classify_response(&self, head: &response::Parts, info: &Head) -> Classification;
-
-    /// Whether the response names the request that it answers.
-    fn names_request(&self, head: &response::Parts, info: &Head) -> bool;
+    /// Reads what the head of a response says of a request that was sent to `upstream`.
+    fn read_signs(&self, head: &response::Parts, info: &Head, upstream: &id::Vm) -> Signs;
 
     /// Reads what the upstream says of itself in a response.
     fn parse_notice(&self, head: &response::Parts) -> Notice;
--- a/crates/agateflowd/src/direct/call.rs
+++ b/crates/agateflowd/src/direct/call.rs
@@ -5,6 +5,7 @@
 
 use agateflow::direct::attempt;
 use agateflow::direct::load::Health;
+use agateflow::direct::response::Signs;
 use agateflow::event::Event;
 use agateflow::{id, outcome, unit};
 use bytes::Bytes;
@@ -57,6 +58,8 @@
     pub longest_pause: unit::Micros,
     /// Whether an attempt was sent and has not ended.
     pub in_flight: Rc<Cell<bool>>,
+    /// What the head of the last response said, if its status was no success.
+    pub last_error: Option<Signs>,
     upstream_failure: Option<Response<Bytes>>,
 }
 
@@ -120,6 +123,7 @@
             time_to_first_part: None,
             longest_pause: unit::Micros::ZERO,
             in_flight: Rc::default(),
+            last_error: None,
             upstream_failure: None,
             entry,
             request,
@@ -203,7 +207,8 @@
         event!(self.entry.logger, Event::AttemptEnded; "id" => &*self.request.info.id,
             "end" => ?end, "sent" => self.record.sent(), "attempts" => self.request.route.attempts,
             "budget" => has_budget, "left" => %self.request.deadline.saturating_sub(now),
-            "next" => ?step);
+            "last_error" => self.last_error.as_ref().map(ToString::to_string),
+            "last_tried" => self.tried.last().map(id::Vm::as_str), "next" => ?step);
         step
     }
 
@@ -285,7 +290,9 @@
             "service" => %self.request.service, "reason" => reason, "retry_after" => %retry_delay,
             "waiting" => occupancy.queued, "limit" => occupancy.mean_limit,
             "factor" => occupancy.max_cost_factor, "mean" => occupancy.mean_requests,
-            "open" => occupancy.open_upstreams,
+            "open" => occupancy.open_upstreams, "sent" => self.record.sent(),
+            "maybe_ran" => self.record.maybe_ran(),
+            "last_error" => self.last_error.as_ref().map(ToString::to_string),
             "waited" => %self.entry.now().saturating_sub(self.request.arrived));
         self.meter.end(outcome::Outcome::NotRun);
         reply::refusal(reason, retry_delay)
@@ -301,6 +308,8 @@
         event!(self.entry.logger, Event::RequestEnded; "id" => &*self.request.info.id,
             "route" => &*self.request.route.name, "status" => status.as_u16(),
             "outcome" => outcome.as_str(), "sent" => self.record.sent(),
+            "last_tried" => self.tried.last().map(id::Vm::as_str),
+            "last_error" => self.last_error.as_ref().map(ToString::to_string),
             "first" => self.time_to_first_part.map(unit::Millis::get),
             "longest_pause_us" => self.longest_pause.get(),
             "took" => %self.entry.now().saturating_sub(self.request.arrived));
--- a/crates/agateflowd/src/direct/exchange.rs
+++ b/crates/agateflowd/src/direct/exchange.rs
@@ -6,15 +6,16 @@
 use agateflow::direct::directory::Upstream;
 use agateflow::direct::load::Health;
 use agateflow::direct::queue::Item;
+use agateflow::direct::response::Classification;
 use agateflow::event::Event;
 use agateflow::unit;
 use bytes::Bytes;
-use http::{Response, Uri, response};
+use http::{Response, Uri};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use tokio::time;
 
-use super::adapter::{Classification, Forward};
+use super::adapter::Forward;
 use super::call::Call;
 use super::permit::{self, Permit, Refusal};
 use super::pool;
@@ -234,24 +235,13 @@
         silence_limit.duration()
     }
 
-    /// Classifies a response. On a connection in use again, a refusal that does not name the
-    /// request may be a copy of an earlier one.
-    fn classify(&self, head: &response::Parts, reused: bool) -> Classification {
-        let (dialect, info) = (&self.entry.dialect, &self.request.info);
-        match dialect.classify_response(head, info) {
-            Classification::NotRun | Classification::Misdirected
-                if reused && !dialect.names_request(head, info) =>
-            {
-                Classification::Foreign
-            }
-            classification => classification,
-        }
-    }
-
     async fn check_response(&mut self, exchange: Exchange) -> Result<Exchange, Error> {
         let (head, body) = exchange.response.into_parts();
         let upstream = exchange.permit.upstream.clone();
-        let classification = self.classify(&head, exchange.connection.is_reused());
+        let signs = self.entry.dialect.read_signs(&head, &self.request.info, &upstream.vm);
+        let reused = exchange.connection.is_reused();
+        let classification = signs.classify(reused);
+        self.last_error = Some(signs).filter(|_| !head.status.is_success());
         let notice = match classification {
             Classification::Own | Classification::NotRun => {
                 self.entry.record_notice(&head, &exchange.permit)
@@ -274,7 +264,7 @@
         };
         event!(self.entry.logger, Event::AnswerRejected; "id" => &*self.request.info.id,
             "upstream" => %upstream.vm, "status" => head.status.as_u16(),
-            "answer" => ?classification);
+            "answer" => ?classification, "signs" => %signs, "reused" => reused);
         if classification != Classification::Foreign && is_body_complete(body).await {
             exchange.connection.release_after_refusal(self.request.info.id.clone());
         }
--- a/crates/agateflowd/src/upstream/attempt.rs
+++ b/crates/agateflowd/src/upstream/attempt.rs
@@ -415,6 +415,10 @@
         Ok(response) => {
             let notice = backend::parse_notice(response.status(), response.headers());
             record_notice(shared, notice, sent_at);
+            if !response.status().is_success() {
+                event!(shared.logger, Event::EngineError;
+                    "attempt" => %start.id, "status" => response.status().as_u16());
+            }
             response
         }
         Err(error @ backend::Error::Ambiguous { .. }) => {
--- a/crates/agateflowd/tests/directenv/mod.rs
+++ b/crates/agateflowd/tests/directenv/mod.rs
@@ -12,14 +12,15 @@
 use agateflow::direct::budget;
 use agateflow::direct::config::{Config, Kind, Limits, Route, Service, Target, Team};
 use agateflow::direct::directory::{Change, Revision, State, Upstream};
+use agateflow::direct::response::{Sender, Signs, Subject};
 use agateflow::id;
 use agateflow::unit::{Bytes, Millis};
-use agateflowd::direct::adapter::{Classification, Dialect, Forward, Head};
+use agateflowd::direct::adapter::{Dialect, Forward, Head};
 use agateflowd::direct::entry::Options;
 use agateflowd::direct::{Entry, server, socket};
 use agateflowd::log;
 use agateflowd::notice::Notice;
-use http::{HeaderMap, HeaderValue, StatusCode, request, response};
+use http::{HeaderMap, HeaderValue, request, response};
 use slog::Drain;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -27,8 +28,8 @@
 use tokio::task::{self, JoinSet, LocalSet};
 use tokio::time;
 
-/// Header format of these tests: `id` identifies a request, `not-run` and `proof` classify a
-/// response, in which an upstream says of itself `rate-limit`, `rest-ms` and `leaving`.
+/// Header format of these tests: `id` identifies a request, `sender` the upstream of a response,
+/// `not-run` and `proof` classify it. An upstream says of itself `rate-limit`, `rest-ms` and `leaving`.
 pub struct Headers;
 
 pub fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
@@ -58,20 +59,24 @@
             .insert("left", HeaderValue::from_str(&forward.time_left.get().to_string()).unwrap());
     }
 
-    fn classify_response(&self, head: &response::Parts, info: &Head) -> Classification {
-        match header_text(&head.headers, "id") {
-            Some(id) if id != &*info.id => Classification::Foreign,
-            _ if head.headers.contains_key("not-run") => Classification::NotRun,
-            _ if head.status == StatusCode::MISDIRECTED_REQUEST => Classification::Misdirected,
-            Some(_) if head.headers.contains_key("proof") => Classification::Own,
-            _ => Classification::Foreign,
+    fn read_signs(&self, head: &response::Parts, info: &Head, upstream: &id::Vm) -> Signs {
+        Signs {
+            status: head.status.as_u16(),
+            subject: match header_text(&head.headers, "id") {
+                Some(id) if id == &*info.id => Subject::Own,
+                Some(_) => Subject::Other,
+                None => Subject::Unnamed,
+            },
+            sender: match header_text(&head.headers, "sender") {
+                Some(vm) if vm == upstream.as_str() => Sender::Expected,
+                Some(_) => Sender::Other,
+                None => Sender::Unnamed,
+            },
+            not_run: head.headers.contains_key("not-run"),
+            proof: head.headers.contains_key("proof"),
         }
     }
 
-    fn names_request(&self, head: &response::Parts, info: &Head) -> bool {
-        header_text(&head.headers, "id") == Some(&*info.id)
-    }
-
     fn parse_notice(&self, head: &response::Parts) -> Notice {
         let rate_limit = header_text(&head.headers, "rate-limit");
         let rest = header_text(&head.headers, "rest-ms").and_then(|rest| rest.parse().ok());
