--- a/crates/agateflowd/tests/testenv/mod.rs
+++ b/crates/agateflowd/tests/testenv/mod.rs
@@ -53,6 +53,8 @@
     pub requests_per_second: f64,
     pub burst: u32,
     pub children: bool,
+    /// Address of the plain services in place of the stand-ins.
+    pub service_address: Option<SocketAddr>,
 }
 
 impl Plan {
@@ -65,6 +67,7 @@
             requests_per_second: 10_000.0,
             burst: 10_000,
             children: false,
+            service_address: None,
         }
     }
 
@@ -97,6 +100,12 @@
         self
     }
 
+    /// Lets what listens at `address` answer in place of each plain service.
+    pub fn with_service_address(mut self, address: SocketAddr) -> Self {
+        self.service_address = Some(address);
+        self
+    }
+
     pub fn with_services(mut self, services: usize) -> Self {
         self.services = services;
         self
@@ -113,6 +122,7 @@
     pub document: serde_json::Value,
     addresses: Addresses,
     children: bool,
+    service_address: Option<SocketAddr>,
 }
 
 /// A process that can be killed with all it does: on a runtime of its own, or a child.
@@ -297,6 +307,7 @@
             document,
             addresses,
             children: plan.children,
+            service_address: plan.service_address,
         };
         let upstreams = (0..plan.engines + plan.services).map(|index| fleet.start_upstream(index));
         let entries = (0..plan.entries).map(|index| fleet.start_entry(index));
@@ -314,7 +325,10 @@
     pub async fn start_upstream(&self, index: usize) -> Daemon {
         let backend = match self.engines.get(index) {
             Some(engine) => engine.host().address(),
-            None => self.services[index - self.engines.len()].host().address(),
+            None => {
+                let service = &self.services[index - self.engines.len()];
+                self.service_address.unwrap_or_else(|| service.host().address())
+            }
         };
         let role = json!({ "kind": "upstream", "backend": backend });
         let name = format!("upstream-{index}");
