Entry: an upstream's own 503, 429 or 408 no longer reaches callers

What callers saw: 503, which promises that their request has not run and never will, for requests that may run once and had run. Cause: an error without the mark 'not run' ended the attempt as Failed, and Failed was passed on whatever its status. The upstream's status then made a promise that the upstream had not made. Change: such an attempt ends as Unproven. It counts as one that may have run, is sent again where a broken one would be, and ends with 502 of the entry's own, without the upstream's proof.

--- a/crates/agateflow/src/direct/attempt.rs
+++ b/crates/agateflow/src/direct/attempt.rs
@@ -13,6 +13,9 @@
     NotRun,
     /// The upstream ran the request and returned an error.
     Failed,
+    /// The upstream returned an error whose status says that it did not run the request, without
+    /// proof of that.
+    Unproven,
     /// The connection broke, or the response does not belong to this request.
     Broken,
     /// No response arrived in time.
@@ -27,6 +30,7 @@
             Outcome::Misdirected => "misdirected",
             Outcome::NotRun => "not-run",
             Outcome::Failed => "failed",
+            Outcome::Unproven => "unproven",
             Outcome::Broken => "broken",
             Outcome::Silent => "silent",
         }
@@ -109,7 +113,7 @@
                 Action::Again
             }
             Outcome::Failed => Action::Pass,
-            Outcome::Broken | Outcome::Silent
+            Outcome::Unproven | Outcome::Broken | Outcome::Silent
                 if can_retry && has_budget && self.kind.may_repeat() =>
             {
                 Action::Again
@@ -125,7 +129,7 @@
             Outcome::Unsent => self.unsent += 1,
             Outcome::Misdirected => self.misdirected += 1,
             Outcome::NotRun => self.sent += 1,
-            Outcome::Failed | Outcome::Broken | Outcome::Silent => {
+            Outcome::Failed | Outcome::Unproven | Outcome::Broken | Outcome::Silent => {
                 self.sent += 1;
                 self.maybe_ran = true;
             }
--- a/crates/agateflow/src/outcome.rs
+++ b/crates/agateflow/src/outcome.rs
@@ -37,6 +37,12 @@
     }
 }
 
+/// Whether an HTTP status tells callers that the request did not run and will not: they may send it
+/// again even if it must not run twice.
+pub const fn promises_not_run(status: u16) -> bool {
+    matches!(status, 408 | 421 | 429 | 503)
+}
+
 /// A string that is not the name of an outcome.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("{0:?} is not one of ran, not-run, unknown")]
--- a/crates/agateflow/tests/direct.rs
+++ b/crates/agateflow/tests/direct.rs
@@ -246,6 +246,7 @@
         Outcome::Misdirected,
         Outcome::NotRun,
         Outcome::Failed,
+        Outcome::Unproven,
         Outcome::Broken,
         Outcome::Silent,
     ])
@@ -268,11 +269,13 @@
         for (outcome, has_budget, has_time) in outcomes {
             let action = tracker.record_outcome(outcome, has_budget, has_time);
 
-            ran += u32::from(
-                matches!(outcome, Outcome::Failed | Outcome::Broken | Outcome::Silent)
-            );
+            ran += u32::from(matches!(
+                outcome,
+                Outcome::Failed | Outcome::Unproven | Outcome::Broken | Outcome::Silent
+            ));
             sent += u32::from(!matches!(outcome, Outcome::Unsent | Outcome::Misdirected));
             prop_assert!(action != Action::Refuse || ran == 0, "refused after it may have run");
+            prop_assert!(action != Action::Pass || outcome == Outcome::Failed);
             prop_assert!(sent <= limit, "sent to {sent} upstreams of {limit}");
             if action != Action::Again {
                 break;
--- a/crates/agateflowd/src/direct/call.rs
+++ b/crates/agateflowd/src/direct/call.rs
@@ -184,7 +184,7 @@
                 }
                 attempt::Action::Pass => return self.forward_failure(),
                 attempt::Action::Fail => {
-                    return self.fail(StatusCode::BAD_GATEWAY, "upstream broke off");
+                    return self.fail(StatusCode::BAD_GATEWAY, failure_reason(end));
                 }
                 attempt::Action::TimeOut => {
                     return self.fail(StatusCode::GATEWAY_TIMEOUT, "upstream silent");
@@ -235,10 +235,16 @@
             self.entry.record_answer(&self.request);
             return Ok(self.forward_response(head, body));
         }
-        self.upstream_failure = Some(Response::from_parts(head, body));
+        let end = match outcome::promises_not_run(head.status.as_u16()) {
+            true => attempt::Outcome::Unproven,
+            false => {
+                self.upstream_failure = Some(Response::from_parts(head, body));
+                attempt::Outcome::Failed
+            }
+        };
         let health = if self.request.route.kind.is_stream() { Health::Bad } else { Health::Good };
-        self.end_attempt(&permit.upstream, attempt::Outcome::Failed, health);
-        Err(attempt::Outcome::Failed)
+        self.end_attempt(&permit.upstream, end, health);
+        Err(end)
     }
 
     fn forward_response(&mut self, head: response::Parts, body: Bytes) -> Response<Body> {
@@ -317,6 +323,14 @@
     }
 }
 
+/// What the caller is told of an attempt after which it is unknown whether the request ran.
+const fn failure_reason(end: attempt::Outcome) -> &'static str {
+    match end {
+        attempt::Outcome::Unproven => "upstream failed, perhaps after it ran the request",
+        _ => "upstream broke off",
+    }
+}
+
 /// Whether a response is a stream of events.
 pub fn is_event_stream(response: &Response<Incoming>) -> bool {
     let kind = response.headers().get(http::header::CONTENT_TYPE);
