Entry: a 421 is believed only if it is marked or another upstream's

What callers saw: 503 for requests that an upstream had run and answered with a 421 of its own. Cause: each 421 that named no other request was taken for 'another upstream has the address', with the upstream's proof, from the expected upstream, or from none that it named. Change: what a 421 proves is decided in direct::response from the sender that it names. An unmarked one of the expected upstream is its own error and ends with 502, as other errors do whose status promises 'not run'.

--- a/crates/agateflow/src/direct/response.rs
+++ b/crates/agateflow/src/direct/response.rs
@@ -61,7 +61,7 @@
         if self.subject == Subject::Other {
             return Classification::Foreign;
         }
-        if self.status == STATUS_MISDIRECTED || self.not_run {
+        if self.not_run || self.is_misdirected() {
             return self.classify_refusal(reused);
         }
         let is_success = (200..300).contains(&self.status);
@@ -71,6 +71,12 @@
         }
     }
 
+    /// Whether another upstream than the expected one answers that the request is not for it. It ran
+    /// the request if it also proves that it produced an answer.
+    fn is_misdirected(&self) -> bool {
+        self.status == STATUS_MISDIRECTED && self.sender == Sender::Other && !self.proof
+    }
+
     fn classify_refusal(&self, reused: bool) -> Classification {
         if reused && self.subject != Subject::Own {
             return Classification::Foreign;
