Entry: a success that is marked as not run is not told as a refusal

What callers saw: 503 for a request whose upstream had answered with a success, with proof and a mark 'not run'. Cause: the mark was believed beside any status. Change: such an answer belongs to no request: 502 for one that may run once, others go on elsewhere.

--- a/crates/agateflow/src/direct/response.rs
+++ b/crates/agateflow/src/direct/response.rs
@@ -50,7 +50,7 @@
     NotRun,
     /// Another upstream has the address, and did not run the request.
     Misdirected,
-    /// Belongs to another request, or lacks proof that an upstream produced it.
+    /// Belongs to another request, lacks proof that an upstream produced it, or contradicts itself.
     Foreign,
 }
 
@@ -58,13 +58,13 @@
     /// Classifies the response. On a connection in use again, `reused`, a refusal that does not name
     /// the request may be a copy of an earlier one.
     pub fn classify(&self, reused: bool) -> Classification {
-        if self.subject == Subject::Other {
+        let is_success = (200..300).contains(&self.status);
+        if self.subject == Subject::Other || (is_success && self.not_run) {
             return Classification::Foreign;
         }
         if self.not_run || self.is_misdirected() {
             return self.classify_refusal(reused);
         }
-        let is_success = (200..300).contains(&self.status);
         match self.subject == Subject::Own && (self.proof || !is_success) {
             true => Classification::Own,
             false => Classification::Foreign,
--- a/crates/agateflow/tests/response.rs
+++ b/crates/agateflow/tests/response.rs
@@ -77,6 +77,7 @@
 
 #[rstest]
 #[case::without_proof(Signs { status: 200, proof: false, ..ERROR })]
+#[case::marked_as_not_run(Signs { status: 200, not_run: true, ..ERROR })]
 #[case::without_an_id(Signs { status: 200, subject: Subject::Unnamed, ..ERROR })]
 fn unproven_success_is_foreign(#[case] signs: Signs, #[values(false, true)] reused: bool) {
     assert_eq!(signs.classify(reused), Classification::Foreign);
