Former path: statuses of an engine that promise 'not run' reach no caller

What callers would see: 503, 429, 408 or 421 of a plain service or engine, with the outcome 'ran', for calls that may not be repeated. Cause: the same as at the entry of the platform: an engine's status is passed on although this system gives it another meaning. Change: a head with such a status counts as an attempt that may have run: another upstream for repeatable calls, else 502 and 'unknown'. Our own 503, 429 and 408 of the former path were read: each is told before a start frame is queued, or after the upstream process has refused or sealed the attempt.

--- a/crates/agateflow/src/request/machine.rs
+++ b/crates/agateflow/src/request/machine.rs
@@ -167,6 +167,10 @@
             }
             Frame::Failed { .. } => self.mark_lost(index, out),
             Frame::Sealed(state) => self.on_sealed(index, state, out),
+            // The engine took the request, so its status proves nothing.
+            Frame::Head(head) if outcome::promises_not_run(head.status) => {
+                self.mark_lost(index, out);
+            }
             Frame::Head(_) | Frame::Data { .. } | Frame::End { .. } => {
                 self.on_response(index, frame, now, out);
             }
--- a/crates/agateflow/tests/request.rs
+++ b/crates/agateflow/tests/request.rs
@@ -6,6 +6,7 @@
 use agateflow::request::{self, Ending, Finish, Frame, Input, Output, budget};
 use agateflow::{id, outcome, unit};
 use bytes::Bytes;
+use rstest::rstest;
 
 const ENTRY: id::Incarnation = id::Incarnation::new(1);
 
@@ -203,3 +204,22 @@
 
     assert_eq!(withdrawn, [true, true, false]);
 }
+
+#[rstest]
+fn error_of_an_engine_that_promises_not_run_ends_as_unknown(
+    #[values(408, 421, 429, 503)] status: u16,
+    #[values(false, true)] repeatable: bool,
+) {
+    let mut harness = Harness::new(call(repeatable), request::Policy::default());
+    harness.send(Input::Chosen(target(5)));
+    let head = answer::Head { status, headers: Vec::new() };
+
+    let outputs = harness.frame(5, 0, Frame::Head(head));
+    harness.send(Input::NoUpstream { retry_after: ms(900) });
+
+    assert_eq!(chooses(&outputs), repeatable);
+    assert!(!outputs.iter().any(|output| matches!(output, Output::Head(_))));
+    let finish = harness.request.finished().unwrap();
+    assert_eq!(finish.outcome, outcome::Outcome::Unknown);
+    assert!(matches!(finish.ending, Ending::Problem { status: 502, .. }), "{finish:?}");
+}
