--- a/crates/agateflowd/tests/promise.rs
+++ b/crates/agateflowd/tests/promise.rs
@@ -29,7 +29,7 @@
     Reset,
 }
 
-/// A plain service that takes each call and sends the same bytes.
+/// A plain service that takes each call and sends given bytes.
 struct Scripted {
     address: SocketAddr,
     taken: Arc<AtomicUsize>,
@@ -37,6 +37,15 @@
 
 impl Scripted {
     async fn start(answer: &str, end: End) -> Self {
+        Self::start_with(answer, usize::MAX, end).await
+    }
+
+    /// Sends nothing to the first call, and one byte more of the answer to each later one.
+    async fn start_growing(answer: &str, end: End) -> Self {
+        Self::start_with(answer, 0, end).await
+    }
+
+    async fn start_with(answer: &str, first_length: usize, end: End) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let taken = Arc::new(AtomicUsize::new(0));
@@ -44,7 +53,9 @@
         tokio::spawn(async move {
             loop {
                 let (stream, _) = listener.accept().await.unwrap();
-                tokio::spawn(answer_calls(stream, answer.clone(), end, count.clone()));
+                let length = first_length.saturating_add(count.load(Ordering::Relaxed));
+                let sent = answer[..length.min(answer.len())].to_owned();
+                tokio::spawn(answer_calls(stream, sent, end, count.clone()));
             }
         });
         Self { address, taken }
@@ -125,6 +136,27 @@
     }
 }
 
+#[rstest]
+#[case::with_a_length("HTTP/1.1 200 X\r\ncontent-length: 4\r\n\r\nbody")]
+#[case::in_chunks("HTTP/1.1 200 X\r\ntransfer-encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n")]
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_of_a_service_that_stops_at_any_byte_does_not_look_complete(
+    #[case] answer: &str,
+    #[values(End::Closed, End::Reset)] end: End,
+) {
+    let service = Scripted::start_growing(answer, end).await;
+    let fleet = start_fleet(&service).await;
+    for length in 0..answer.len() {
+        let response = fleet.send(0, call(PATHS[0])).await;
+
+        let is_success = response.status().is_success();
+        let is_whole = testenv::whole(response).await.is_some();
+        assert!(!is_success || !is_whole, "{length} bytes");
+    }
+    let whole = fleet.send(0, call(PATHS[0])).await;
+    assert!(matches!(end, End::Reset) || whole.status().is_success(), "{}", whole.status());
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn call_that_reached_no_service_is_refused() {
     let service = Scripted::start("", End::Kept).await;
