--- a/crates/agateflowd/src/direct/run.rs
+++ b/crates/agateflowd/src/direct/run.rs
@@ -43,6 +43,12 @@
     event!(entry.logger, Event::Started; "version" => env!("CARGO_PKG_VERSION"),
         "data_centre" => %options.data_centre);
     signal::end()?.await;
+    shut_down(&entry, server, &close).await;
+    Ok(())
+}
+
+/// Drains the requests in progress, within the grace period. `close` ends the task `server`.
+pub async fn shut_down(entry: &Entry, server: task::JoinHandle<()>, close: &watch::Sender<bool>) {
     let drain_started = entry.now();
     event!(entry.logger, Event::Draining; "running" => entry.requests_in_progress());
     entry.shutting_down.send_replace(true);
@@ -50,8 +56,7 @@
     time::sleep(UNREADY_TIME).await;
     close.send_replace(true);
     drop(server.await);
-    drain(&entry, drain_started).await;
-    Ok(())
+    drain(entry, drain_started).await;
 }
 
 fn serve_endpoints(entry: &Rc<Entry>) -> Result<(), Error> {
--- a/crates/agateflowd/tests/direct.rs
+++ b/crates/agateflowd/tests/direct.rs
@@ -67,7 +67,7 @@
         let callers = listener.local_addr().unwrap();
         let (closed, watch) = watch::channel(false);
         task::spawn_local(server::run(entry.clone(), listener, watch));
-        let fixture = Fixture { entry, callers, closed };
+        let fixture = Fixture { entry, callers, closed, server: Default::default() };
 
         let got = fixture.call("/safe/", "1").await;
 
--- a/crates/agateflowd/tests/directenv/mod.rs
+++ b/crates/agateflowd/tests/directenv/mod.rs
@@ -17,7 +17,7 @@
 use agateflow::unit::{Bytes, Millis};
 use agateflowd::direct::adapter::{Dialect, Forward, Head};
 use agateflowd::direct::entry::Options;
-use agateflowd::direct::{Entry, server, socket};
+use agateflowd::direct::{Entry, run, server, socket};
 use agateflowd::log;
 use agateflowd::notice::Notice;
 use http::{HeaderMap, HeaderValue, request, response};
@@ -294,6 +294,7 @@
     pub entry: Rc<Entry>,
     pub callers: SocketAddr,
     pub closed: watch::Sender<bool>,
+    pub server: RefCell<Option<task::JoinHandle<()>>>,
 }
 
 pub fn route(prefix: &str, kind: Kind) -> Route {
@@ -403,17 +404,27 @@
     }
 
     pub fn start_with(upstreams: &[&Server], logger: slog::Logger) -> Self {
-        let entry = Entry::new(options(), Box::new(Headers), logger);
+        Self::start_entry(upstreams, options(), logger)
+    }
+
+    pub fn start_entry(upstreams: &[&Server], options: Options, logger: slog::Logger) -> Self {
+        let entry = Entry::new(options, Box::new(Headers), logger);
         let listener = socket::listen(entry.options.caller_address).unwrap();
         let callers = listener.local_addr().unwrap();
         let (closed, watch) = watch::channel(false);
-        task::spawn_local(server::run(entry.clone(), listener, watch));
+        let server = task::spawn_local(server::run(entry.clone(), listener, watch));
         for scripted in upstreams {
             entry
                 .apply_change(Change::Listed(listing(scripted, State::Ready)), Revision::new(0, 1));
         }
         entry.apply_config(config(1), "test");
-        Self { entry, callers, closed }
+        Self { entry, callers, closed, server: RefCell::new(Some(server)) }
+    }
+
+    /// Shuts the entry down, as after SIGTERM. Its process would end when this does.
+    pub async fn shut_down(&self) {
+        let server = self.server.take().unwrap();
+        run::shut_down(&self.entry, server, &self.closed).await;
     }
 
     pub async fn connect(&self) -> TcpStream {
