Server: an answer that is still being written does not count as idle

What callers saw: a large answer cut in its middle (3.9 of 8.4 MB), without a planned stop. Cause: a connection counted as idle once the HTTP library had taken the whole body, while megabytes of it waited for the caller to read. After the idle timeout of the configuration the connection was dropped with them. Evidence: answer_that_is_read_for_longer_than_the_idle_timeout_is_sent_whole failed before (3,899,275 of 8,388,508 bytes), passes now. Change: a connection whose bytes wait to be written is in a phase of its own, Sending; the idle timeout counts from the last write. A caller that does not read is bounded by the socket's user timeout, as before.

--- a/crates/agateflowd/src/direct/server.rs
+++ b/crates/agateflowd/src/direct/server.rs
@@ -44,6 +44,8 @@
     Head(Instant),
     /// The response.
     Busy,
+    /// The caller, to read the rest of the response.
+    Sending,
 }
 
 /// Accepts connections until `closed` is true. Open ones then end after their current requests.
@@ -145,7 +147,7 @@
     match phase {
         Phase::Idle(since) => since + limits.map_or(DEFAULT_TIMEOUT, |l| l.idle_time.duration()),
         Phase::Head(since) => since + limits.map_or(DEFAULT_TIMEOUT, |l| l.header_time.duration()),
-        Phase::Busy => Instant::now() + DEFAULT_TIMEOUT,
+        Phase::Busy | Phase::Sending => Instant::now() + DEFAULT_TIMEOUT,
     }
 }
 
@@ -168,7 +170,7 @@
     Ok(response)
 }
 
-/// A body that marks its connection as idle when it ends.
+/// A body that marks its connection as idle when it ends. Its last bytes may still be written then.
 struct Body {
     inner: reply::Body,
     phase: Rc<Cell<Phase>>,
@@ -200,12 +202,24 @@
     }
 }
 
-/// A connection that records when a request begins to arrive.
+/// A connection that records when a request begins to arrive, and whether a response waits to be
+/// written.
 struct Stream {
     stream: TcpStream,
     phase: Rc<Cell<Phase>>,
 }
 
+impl Stream {
+    fn record_write(&self, result: &Poll<io::Result<usize>>) {
+        if matches!(self.phase.get(), Phase::Idle(_) | Phase::Sending) {
+            self.phase.set(match result {
+                Poll::Pending => Phase::Sending,
+                Poll::Ready(_) => Phase::Idle(Instant::now()),
+            });
+        }
+    }
+}
+
 impl AsyncRead for Stream {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -227,7 +241,9 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let result = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.record_write(&result);
+        result
     }
 
     fn poll_write_vectored(
@@ -235,7 +251,9 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+        let result = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        self.record_write(&result);
+        result
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/agateflowd/tests/direct_stop.rs
+++ b/crates/agateflowd/tests/direct_stop.rs
@@ -109,6 +109,24 @@
     assert_eq!(body, ANSWER_BYTES);
 }
 
+#[test]
+fn answer_that_is_read_for_longer_than_the_idle_timeout_is_sent_whole() {
+    const ANSWER_BYTES: usize = 8 << 20;
+    run_local(async {
+        let answer = ok_response("1", &"x".repeat(ANSWER_BYTES - 100));
+        let upstream = Server::start("u", vec![Action::Send(answer)]).await;
+        let fixture = Fixture::start(&[&upstream]);
+        let caller = Caller::new(get("/once/", "1")).with_pause(Duration::from_millis(30));
+        let called = caller.spawn(fixture.callers);
+
+        let got = tokio::task::spawn_blocking(|| called.join().unwrap()).await.unwrap();
+
+        let body =
+            got.windows(4).position(|bytes| bytes == b"\r\n\r\n").map(|end| got.len() - end - 4);
+        assert_eq!(body, Some(ANSWER_BYTES - 100));
+    });
+}
+
 #[rstest]
 #[case::new_connection(Duration::from_millis(2_800))]
 #[case::kept_connection(Duration::from_millis(2_600))]
