Planned stop: the entry ends after its last answers are written

Cause: the drain waited for requests in progress, and a request that is no stream ended as its response was handed to the HTTP library, before its bytes reached the socket. Change: the drain also waits, within the grace period, for callers' connections, which end after their last response is written. DrainTimedOut tells their number.

--- a/crates/agateflowd/src/direct/entry.rs
+++ b/crates/agateflowd/src/direct/entry.rs
@@ -89,7 +89,8 @@
     /// Crashes to report in heartbeats.
     pub recent_crashes: RefCell<Vec<suspect::Crash>>,
     table: RefCell<Option<Rc<config::Table>>>,
-    in_progress: Cell<usize>,
+    in_progress: Rc<Cell<usize>>,
+    connections: Rc<Cell<usize>>,
     start: Instant,
 }
 
@@ -119,7 +120,8 @@
             exclusions_changed: watch::Sender::new(()),
             recent_crashes: RefCell::default(),
             table: RefCell::new(None),
-            in_progress: Cell::new(0),
+            in_progress: Rc::default(),
+            connections: Rc::default(),
             start: Instant::now(),
             options,
         })
@@ -225,9 +227,18 @@
     }
 
     /// Counts a request until the guard is dropped.
-    pub fn track_request(self: &Rc<Self>) -> Guard {
-        self.in_progress.set(self.in_progress.get() + 1);
-        Guard(self.clone())
+    pub fn track_request(&self) -> Guard {
+        Guard::new(&self.in_progress)
+    }
+
+    /// Number of callers' connections.
+    pub fn open_connections(&self) -> usize {
+        self.connections.get()
+    }
+
+    /// Counts a caller's connection until the guard is dropped.
+    pub fn track_connection(&self) -> Guard {
+        Guard::new(&self.connections)
     }
 
     /// Number of entries that share limits.
@@ -246,11 +257,18 @@
     }
 }
 
-/// Counts one request as in progress.
-pub struct Guard(Rc<Entry>);
+/// Counts one request or connection as in progress.
+pub struct Guard(Rc<Cell<usize>>);
+
+impl Guard {
+    fn new(count: &Rc<Cell<usize>>) -> Self {
+        count.set(count.get() + 1);
+        Self(count.clone())
+    }
+}
 
 impl Drop for Guard {
     fn drop(&mut self) {
-        self.0.in_progress.set(self.0.in_progress.get() - 1);
+        self.0.set(self.0.get() - 1);
     }
 }
--- a/crates/agateflowd/src/direct/run.rs
+++ b/crates/agateflowd/src/direct/run.rs
@@ -85,12 +85,14 @@
 
 async fn drain(entry: &Entry, drain_started: unit::Millis) {
     let deadline = drain_started + entry.options.grace_period.saturating_sub(GRACE_MARGIN);
-    while entry.requests_in_progress() > 0 && entry.now() < deadline {
+    // A connection ends after its last response has been written to the socket.
+    let is_busy = || entry.requests_in_progress() + entry.open_connections() > 0;
+    while is_busy() && entry.now() < deadline {
         time::sleep(DRAIN_POLL_INTERVAL).await;
     }
-    let remaining = entry.requests_in_progress();
-    if remaining > 0 {
-        event!(entry.logger, Event::DrainTimedOut; "running" => remaining);
+    if is_busy() {
+        event!(entry.logger, Event::DrainTimedOut; "running" => entry.requests_in_progress(),
+            "connections" => entry.open_connections());
     } else {
         event!(entry.logger, Event::Drained; "took" => %entry.now().saturating_sub(drain_started));
     }
--- a/crates/agateflowd/src/direct/server.rs
+++ b/crates/agateflowd/src/direct/server.rs
@@ -92,7 +92,12 @@
     if entry.is_shutting_down() {
         task::spawn_local(delay_shutdown(entry.clone()));
     }
-    task::spawn_local(serve(entry.clone(), stream, closed));
+    let connection_guard = entry.track_connection();
+    let connection = serve(entry.clone(), stream, closed);
+    task::spawn_local(async move {
+        let _connection_guard = connection_guard;
+        connection.await;
+    });
 }
 
 /// Delays the end of the entry until a new connection had time to send its first request.
