Planned stop: no request is cut at the end of the grace without an answer

Cause: a connection accepted in the last 0.5 s before the listener closes may send its first request after that, and it was taken whatever time it may need; what was in progress at the end of the grace was dropped with the process. Change: a request that is read later than 3 s after SIGTERM is taken only if its deadline ends before the process does; others are refused at once, with proof that they did not run, and told to come back after 0.1 s, as other entries take new connections. What has no response 0.5 s before the end of the grace gets its final one: 504 if an upstream may have run it, else 503. Streams whose events are on their way go on to the end.

--- a/crates/agateflow/src/direct/mod.rs
+++ b/crates/agateflow/src/direct/mod.rs
@@ -5,6 +5,7 @@
 pub mod budget;
 pub mod config;
 pub mod directory;
+pub mod drain;
 pub mod events;
 pub mod group;
 pub mod limiter;
--- a/crates/agateflow/src/event.rs
+++ b/crates/agateflow/src/event.rs
@@ -139,7 +139,7 @@
     703 AttemptEnded Info "attempt ended";
     /// A request got its final answer.
     704 RequestEnded Info "request ended";
-    /// The deadline of the caller or of the route has passed.
+    /// The deadline of the caller or of the route has passed, or the entry that shuts down must answer.
     705 RequestTimedOut Info "request timed out";
     /// The caller disconnected before the end of its answer.
     706 CallerLeft Info "caller left";
--- a/crates/agateflowd/src/direct/call.rs
+++ b/crates/agateflowd/src/direct/call.rs
@@ -36,6 +36,9 @@
 /// `retry-after` for a request that timed out before it was sent.
 const TIMEOUT_RETRY_AFTER: unit::Millis = unit::Millis::new(250);
 
+/// `retry-after` while the entry shuts down. Other entries take new connections at once.
+const SHUTDOWN_RETRY_AFTER: unit::Millis = unit::Millis::new(100);
+
 /// A request in progress, with its attempts.
 pub struct Call {
     /// The entry.
@@ -136,6 +139,9 @@
         if let Some(retry_delay) = self.entry.crash_refusal(&self.request) {
             return self.refuse("request crashes upstreams", retry_delay);
         }
+        if !self.entry.admits(self.request.deadline) {
+            return self.refuse("entry is shutting down", SHUTDOWN_RETRY_AFTER);
+        }
         self.entry
             .with_service(&self.request.service, |service| service.budget.record_request(now));
         let deadline = self.entry.instant_at(self.request.deadline);
@@ -144,19 +150,23 @@
         let mut guard = Guard::new(entry.clone(), id.clone(), in_flight.clone());
         let maybe_ran = Rc::new(Cell::new(false));
         let ran = maybe_ran.clone();
-        let result = time::timeout_at(deadline, self.run_attempts(ran)).await;
+        let response = tokio::select! {
+            response = time::timeout_at(deadline, self.run_attempts(ran)) => response.ok(),
+            () = entry.wait_for_answers_due() => None,
+        };
         guard.response_began = true;
-        match result {
-            Ok(response) => response,
-            Err(_) if in_flight.get() || maybe_ran.get() => {
-                event!(entry.logger, Event::RequestTimedOut; "id" => &*id, "ran" => "unknown");
-                reply::problem(StatusCode::GATEWAY_TIMEOUT, "no answer in time")
-            }
-            Err(_) => {
-                event!(entry.logger, Event::RequestTimedOut; "id" => &*id, "ran" => "no");
-                reply::refusal("no place in time", TIMEOUT_RETRY_AFTER)
-            }
+        if let Some(response) = response {
+            return response;
+        }
+        let shutdown = entry.is_shutting_down();
+        if in_flight.get() || maybe_ran.get() {
+            event!(entry.logger, Event::RequestTimedOut; "id" => &*id, "ran" => "unknown",
+                "shutdown" => shutdown);
+            return reply::problem(StatusCode::GATEWAY_TIMEOUT, "no answer in time");
         }
+        event!(entry.logger, Event::RequestTimedOut; "id" => &*id, "ran" => "no",
+            "shutdown" => shutdown);
+        reply::refusal("no place in time", TIMEOUT_RETRY_AFTER)
     }
 
     async fn run_attempts(mut self, ran: Rc<Cell<bool>>) -> Response<Body> {
--- a/crates/agateflowd/src/direct/entry.rs
+++ b/crates/agateflowd/src/direct/entry.rs
@@ -8,13 +8,14 @@
 use agateflow::direct::directory::{Change, Directory, Removals, Revision, Upstream};
 use agateflow::direct::group::{self, Group};
 use agateflow::direct::load::Load;
-use agateflow::direct::{budget, config, peer, quarantine, rate, suspect};
+use agateflow::direct::{budget, config, drain, peer, quarantine, rate, suspect};
 use agateflow::event::Event;
 use agateflow::{id, unit};
 use indexmap::IndexMap;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use tokio::sync::{Notify, watch};
+use tokio::time;
 
 use super::adapter::Dialect;
 use super::pool::Pool;
@@ -89,6 +90,7 @@
     /// Crashes to report in heartbeats.
     pub recent_crashes: RefCell<Vec<suspect::Crash>>,
     table: RefCell<Option<Rc<config::Table>>>,
+    drain: Cell<Option<drain::Schedule>>,
     in_progress: Rc<Cell<usize>>,
     connections: Rc<Cell<usize>>,
     start: Instant,
@@ -120,6 +122,7 @@
             exclusions_changed: watch::Sender::new(()),
             recent_crashes: RefCell::default(),
             table: RefCell::new(None),
+            drain: Cell::default(),
             in_progress: Rc::default(),
             connections: Rc::default(),
             start: Instant::now(),
@@ -221,6 +224,27 @@
         *self.shutting_down.borrow()
     }
 
+    /// Begins the shutdown.
+    pub fn start_shutdown(&self, schedule: drain::Schedule) {
+        self.drain.set(Some(schedule));
+        self.shutting_down.send_replace(true);
+        self.heartbeat_trigger.notify_one();
+    }
+
+    /// Whether a request that may take until `deadline` is taken now.
+    pub fn admits(&self, deadline: unit::Millis) -> bool {
+        self.drain.get().is_none_or(|schedule| schedule.admits(self.now(), deadline))
+    }
+
+    /// Waits until a shutdown requires the final responses.
+    pub async fn wait_for_answers_due(&self) {
+        let _ = self.shutting_down.subscribe().wait_for(|&stopping| stopping).await;
+        match self.drain.get() {
+            Some(schedule) => time::sleep_until(self.instant_at(schedule.answer_by())).await,
+            None => std::future::pending().await,
+        }
+    }
+
     /// Number of requests in progress.
     pub fn requests_in_progress(&self) -> usize {
         self.in_progress.get()
--- a/crates/agateflowd/src/direct/run.rs
+++ b/crates/agateflowd/src/direct/run.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use agateflow::direct::drain;
 use agateflow::event::Event;
 use agateflow::unit;
 use tokio::net::UdpSocket;
@@ -16,7 +17,7 @@
 
 /// Time for which new connections are accepted after the shutdown signal: the load balancer needs
 /// it to notice that the entry is not ready.
-const UNREADY_TIME: Duration = Duration::from_millis(3_000);
+const UNREADY_TIME: unit::Millis = unit::Millis::new(3_000);
 
 /// Time before the kill at which requests in progress are abandoned.
 const GRACE_MARGIN: unit::Millis = unit::Millis::new(250);
@@ -51,12 +52,12 @@
 pub async fn shut_down(entry: &Entry, server: task::JoinHandle<()>, close: &watch::Sender<bool>) {
     let drain_started = entry.now();
     event!(entry.logger, Event::Draining; "running" => entry.requests_in_progress());
-    entry.shutting_down.send_replace(true);
-    entry.heartbeat_trigger.notify_one();
-    time::sleep(UNREADY_TIME).await;
+    let grace_period = entry.options.grace_period;
+    entry.start_shutdown(drain::Schedule::new(drain_started, UNREADY_TIME, grace_period));
+    time::sleep(UNREADY_TIME.duration()).await;
     close.send_replace(true);
     drop(server.await);
-    drain(entry, drain_started).await;
+    await_ends(entry, drain_started).await;
 }
 
 fn serve_endpoints(entry: &Rc<Entry>) -> Result<(), Error> {
@@ -83,7 +84,7 @@
     Ok(())
 }
 
-async fn drain(entry: &Entry, drain_started: unit::Millis) {
+async fn await_ends(entry: &Entry, drain_started: unit::Millis) {
     let deadline = drain_started + entry.options.grace_period.saturating_sub(GRACE_MARGIN);
     // A connection ends after its last response has been written to the socket.
     let is_busy = || entry.requests_in_progress() + entry.open_connections() > 0;
