Streams: a silent upstream keeps its stream until another one has taken it

Cause: after 1.7 s without an event the connection was closed first, and the stream ended if no other upstream took it. Evidence: stream_of_a_silent_upstream_goes_on_there_if_no_other_takes_it (other full, broken, not there) failed before; all pass. stream_that_stayed_at_a_silent_upstream_still_goes_on_elsewhere_once_it_breaks guards the count of attempts. Change: the request goes to another upstream while the stream waits at the first; whichever answers first has it, and the other connection is closed then. An attempt that is taken up again does not count twice.

--- a/crates/agateflow/src/direct/attempt.rs
+++ b/crates/agateflow/src/direct/attempt.rs
@@ -97,6 +97,11 @@
         self.maybe_ran
     }
 
+    /// Takes a silent attempt up again, as its upstream keeps the request.
+    pub const fn reopen_attempt(&mut self) {
+        self.sent = self.sent.saturating_sub(1);
+    }
+
     /// Records the outcome of an attempt and decides what to do next. `has_budget` is whether the
     /// service's retry budget allows a retry, `has_time` whether enough time is left for one.
     pub fn record_outcome(&mut self, outcome: Outcome, has_budget: bool, has_time: bool) -> Action {
--- a/crates/agateflowd/src/direct/entry.rs
+++ b/crates/agateflowd/src/direct/entry.rs
@@ -136,7 +136,7 @@
     }
 
     /// Converts time since the start to an instant.
-    pub fn instant_at(&self, at: unit::Millis) -> tokio::time::Instant {
+    pub fn instant_at(&self, at: unit::Millis) -> time::Instant {
         (self.start + at.duration()).into()
     }
 
--- a/crates/agateflowd/src/direct/stream.rs
+++ b/crates/agateflowd/src/direct/stream.rs
@@ -69,9 +69,15 @@
         let mut previous_event_at: Option<Instant> = None;
         let mut progress = Progress::new();
         let mut silent_since = time::Instant::now();
+        let mut received = None;
         loop {
-            let upstream = source.as_ref().map(|(_, permit)| &permit.upstream);
-            let part = next_part(&guard.call, upstream, silent_since, &mut body).await;
+            let part = match received.take() {
+                Some(part) => part,
+                None => {
+                    let upstream = source.as_ref().map(|(_, permit)| &permit.upstream);
+                    next_part(&guard.call, upstream, silent_since, &mut body).await
+                }
+            };
             let reason: Box<str> = match part {
                 Part::Data(bytes) => match splitter.push(&bytes) {
                     Ok(events) if events.is_empty() => continue,
@@ -96,7 +102,24 @@
                     return;
                 }
                 Part::Broken(reason) => reason,
-                Part::Silent => "silent".into(),
+                Part::Silent => {
+                    let upstream = source.as_ref().map(|(_, permit)| permit.upstream.clone());
+                    match find_other(&mut guard.call, upstream, &mut body).await {
+                        Found::Other(exchange) => {
+                            let exchange = *exchange;
+                            leave(&guard.call, source.take(), "silent", progress).await;
+                            splitter.discard_partial();
+                            ends_with_connection = self::ends_with_connection(exchange.response.headers());
+                            body = exchange.response.into_body();
+                            source = Some((exchange.connection, exchange.permit));
+                            progress = Progress::new();
+                        }
+                        Found::Part(part) => received = Some(part),
+                        Found::Nothing => {}
+                    }
+                    silent_since = time::Instant::now();
+                    continue;
+                }
                 Part::DeadlineExceeded => {
                     guard.ended = true;
                     record_cut(&guard.call, "deadline exceeded");
@@ -131,6 +154,41 @@
     !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING)
 }
 
+/// Result of a search for another upstream.
+enum Found {
+    /// It has taken the stream.
+    Other(Box<Exchange>),
+    /// The present upstream went on meanwhile.
+    Part(Part),
+    /// No other upstream has taken the stream.
+    Nothing,
+}
+
+/// Looks for another upstream that takes a stream whose upstream is silent but keeps its connection.
+async fn find_other(call: &mut Call, silent: Option<Upstream>, body: &mut Incoming) -> Found {
+    if let Some(silent) = silent {
+        call.end_attempt(&silent, attempt::Outcome::Silent, Health::Bad);
+    }
+    call.in_flight.set(false);
+    let in_flight = call.in_flight.clone();
+    let found = tokio::select! {
+        biased;
+        part = receive(body) => Found::Part(part),
+        exchange = next_exchange(call, attempt::Outcome::Silent) => match exchange {
+            Some(exchange) => Found::Other(Box::new(exchange)),
+            None => Found::Nothing,
+        },
+    };
+    if matches!(found, Found::Part(_)) && in_flight.get() {
+        // The connection to the other upstream is dropped; it may have begun.
+        call.record.record_outcome(attempt::Outcome::Silent, false, false);
+    }
+    if !matches!(found, Found::Other(_)) {
+        call.record.reopen_attempt();
+    }
+    found
+}
+
 /// Waits for the next part. A stream without events for too long moves to another upstream if it
 /// can, else it may go on until the deadline. Bytes that complete no event do not count.
 async fn next_part(
@@ -151,17 +209,23 @@
         }
     };
     tokio::pin!(movable);
+    tokio::select! {
+        part = time::timeout_at(deadline.min(silent), receive(body)) => match part {
+            Err(_) if deadline <= silent => Part::DeadlineExceeded,
+            Err(_) => Part::Silent,
+            Ok(part) => part,
+        },
+        () = &mut movable => Part::Silent,
+    }
+}
+
+/// Receives the next part of a body.
+async fn receive(body: &mut Incoming) -> Part {
     loop {
-        let frame = tokio::select! {
-            frame = time::timeout_at(deadline.min(silent), body.frame()) => frame,
-            () = &mut movable => return Part::Silent,
-        };
-        let frame = match frame {
-            Err(_) if deadline <= silent => return Part::DeadlineExceeded,
-            Err(_) => return Part::Silent,
-            Ok(None) => return Part::End,
-            Ok(Some(Err(error))) => return Part::Broken(error.to_string().into()),
-            Ok(Some(Ok(frame))) => frame,
+        let frame = match body.frame().await {
+            None => return Part::End,
+            Some(Err(error)) => return Part::Broken(error.to_string().into()),
+            Some(Ok(frame)) => frame,
         };
         if let Ok(data) = frame.into_data() {
             return Part::Data(data);
@@ -204,13 +268,13 @@
     call.record_end(StatusCode::OK, outcome::Outcome::Unknown);
 }
 
-/// Finds another upstream that resumes the stream after the last forwarded event.
-async fn resume(
-    call: &mut Call,
+/// Ends the connection to the upstream of a stream.
+async fn leave(
+    call: &Call,
     source: Option<(pool::Connection, Permit)>,
     reason: &str,
     progress: Progress,
-) -> Option<Exchange> {
+) {
     if let Some((connection, permit)) = source {
         let answered = progress.is_answered(call.entry.now());
         event!(call.entry.logger, Event::UpstreamFailed; "id" => &*call.request.info.id,
@@ -218,15 +282,33 @@
             "answered" => answered);
         drop(connection);
         call.entry.record_break(&call.request, &permit.upstream);
-        call.end_attempt(&permit.upstream, attempt::Outcome::Broken, Health::Bad);
         if !answered {
             call.entry.check_crash(&call.request, permit.granted_at, &permit.upstream).await;
         } else if progress.is_single_part() {
             call.entry.record_answer(&call.request);
         }
     }
+}
+
+/// Leaves the upstream of a stream that broke off, and finds another one that goes on after the last
+/// forwarded event.
+async fn resume(
+    call: &mut Call,
+    source: Option<(pool::Connection, Permit)>,
+    reason: &str,
+    progress: Progress,
+) -> Option<Exchange> {
+    if let Some((_, permit)) = &source {
+        call.end_attempt(&permit.upstream, attempt::Outcome::Broken, Health::Bad);
+    }
+    leave(call, source, reason, progress).await;
+    next_exchange(call, attempt::Outcome::Broken).await
+}
+
+/// Sends the request to other upstreams after an attempt ended with `end`.
+async fn next_exchange(call: &mut Call, end: attempt::Outcome) -> Option<Exchange> {
     let deadline = call.entry.instant_at(call.request.deadline);
-    let mut end = attempt::Outcome::Broken;
+    let mut end = end;
     while call.next_step(end) == attempt::Action::Again {
         end = match time::timeout_at(deadline, call.send_attempt()).await {
             Err(_) | Ok(Err(exchange::Error::Refused(_))) => return None,
