Test: planned stops with wider margins of time

The same checks. A late request is sent 0.25 s after the listener has closed in place of 0.1 s, and the large answer (7.3 MB) is read faster, so that a busy machine neither closes the connection first nor reaches the end of the grace.

--- a/crates/agateflowd/tests/direct_stop.rs
+++ b/crates/agateflowd/tests/direct_stop.rs
@@ -19,6 +19,15 @@
 
 const GRACE: Millis = Millis::new(5_000);
 
+/// Shutdowns begin so long after their callers do.
+const SHUTDOWN_AFTER: Duration = Duration::from_millis(100);
+
+/// When a caller connects just before the listener closes, 3 s into the shutdown.
+const LATE_CONNECT_AFTER: Duration = Duration::from_millis(3_000);
+
+/// When it sends its request after that, still within the time of a first request.
+const LATE_SEND_AFTER: Duration = Duration::from_millis(3_350);
+
 /// What a caller on a thread of its own sends, from the start of the shutdown on.
 #[derive(Clone)]
 struct Caller {
@@ -83,7 +92,7 @@
         let options = Options { grace_period: grace, ..options() };
         let fixture = Fixture::start_entry(&[&upstream], options, log::discard());
         let called = caller.spawn(fixture.callers);
-        time::sleep(Duration::from_millis(100)).await;
+        time::sleep(SHUTDOWN_AFTER).await;
         fixture.shut_down().await;
         (called, upstream.request_count())
     });
@@ -94,9 +103,9 @@
 
 #[test]
 fn answer_that_a_slow_caller_reads_is_sent_whole() {
-    const ANSWER_BYTES: usize = 6 << 20;
+    const ANSWER_BYTES: usize = 7 << 20;
     let answer = ok_response("1", &"x".repeat(ANSWER_BYTES));
-    let caller = Caller::new(get("/once/", "1")).with_pause(Duration::from_millis(50));
+    let caller = Caller::new(get("/once/", "1")).with_pause(Duration::from_millis(30));
 
     let (got, _) = stop_beside(caller, &[Action::Send(answer)], Millis::new(8_000));
 
@@ -123,29 +132,29 @@
 }
 
 #[rstest]
-#[case::new_connection(Duration::from_millis(2_800))]
-#[case::kept_connection(Duration::from_millis(2_600))]
+#[case::new_connection(LATE_CONNECT_AFTER)]
+#[case::kept_connection(Duration::from_millis(2_500))]
 fn late_request_that_may_outlast_the_grace_is_refused(
     #[case] connect_after: Duration,
     #[values("/once/", "/stream/")] path: &str,
 ) {
     let caller = Caller::new(get(path, "1"))
         .with_connect_after(connect_after)
-        .with_send_after(Duration::from_millis(3_200));
+        .with_send_after(LATE_SEND_AFTER);
 
     let (got, requests) = stop_beside(caller, &[Action::SendNothing], GRACE);
 
     assert_eq!(requests, 0, "passed on");
     let refused = got.starts_with("HTTP/1.1 503") && got.contains("retry-after");
-    assert!(refused || (got.is_empty() && connect_after < Duration::from_millis(2_700)), "{got}");
+    assert!(refused || (got.is_empty() && connect_after < LATE_CONNECT_AFTER), "{got}");
 }
 
 #[test]
 fn late_request_that_ends_within_the_grace_is_served() {
     let request = get("/once/", "1").replace("key: k\r\n", "key: k\r\ntime: 900\r\n");
     let caller = Caller::new(request)
-        .with_connect_after(Duration::from_millis(2_800))
-        .with_send_after(Duration::from_millis(3_200));
+        .with_connect_after(LATE_CONNECT_AFTER)
+        .with_send_after(LATE_SEND_AFTER);
 
     let (got, _) = stop_beside(caller, &[Action::Send(ok_response("1", "whole"))], GRACE);
 
