Streams: one that stays silent for as long as callers wait ends before they leave

Change: the search for another upstream lasts until shortly before callers leave (Route::patience: 2 s, four objectives or eight pauses). Then the stream ends, so that its caller can resume it at another entry.

--- a/crates/agateflow/src/direct/config.rs
+++ b/crates/agateflow/src/direct/config.rs
@@ -71,7 +71,21 @@
     pub targets: Box<[Target]>,
 }
 
+/// Shortest time without an event after which callers leave a stream.
+const MIN_PATIENCE: unit::Millis = unit::Millis::new(2_000);
+
+/// The same as multiples of the route's objective and of its longest pause.
+const PATIENCE_OBJECTIVES: u64 = 4;
+const PATIENCE_PAUSES: u64 = 8;
+
 impl Route {
+    /// How long callers wait for the next event of a stream before they leave it.
+    pub fn patience(&self) -> unit::Millis {
+        let objectives = unit::Millis::new(self.objective.get() * PATIENCE_OBJECTIVES);
+        let pause = self.pause.unwrap_or_default();
+        MIN_PATIENCE.max(objectives).max(unit::Millis::new(pause.get() * PATIENCE_PAUSES))
+    }
+
     /// Picks a service at random by weight.
     pub fn pick_service(&self, rng: &mut impl Rng) -> Option<&id::Service> {
         let total: f64 = self.targets.iter().map(|target| target.weight).sum();
--- a/crates/agateflow/tests/direct.rs
+++ b/crates/agateflow/tests/direct.rs
@@ -8,7 +8,7 @@
 
 use agateflow::direct::attempt::{Action, Outcome, Tracker};
 use agateflow::direct::budget::{self, Budget};
-use agateflow::direct::config::{Kind, Table};
+use agateflow::direct::config::{Kind, Route, Table};
 use agateflow::direct::directory::{Change, Directory, Incarnation, Revision, State, Upstream};
 use agateflow::direct::events::{Error, Splitter};
 use agateflow::direct::load::{Choice, Health, Load};
@@ -588,3 +588,17 @@
 
     assert_eq!(actions, [Action::Again, Action::Refuse]);
 }
+
+#[rstest]
+#[case::short(100, 100, 2_000)]
+#[case::by_the_objective(600, 100, 2_400)]
+#[case::by_the_pause(100, 300, 2_400)]
+fn callers_wait_for_an_event_by_objective_and_pause(
+    #[case] objective: u64,
+    #[case] pause: u64,
+    #[case] expected: u64,
+) {
+    let route = Route { objective: ms(objective), pause: Some(ms(pause)), ..route("/s/", &[]) };
+
+    assert_eq!(route.patience(), ms(expected));
+}
--- a/crates/agateflowd/src/direct/stream.rs
+++ b/crates/agateflowd/src/direct/stream.rs
@@ -30,6 +30,10 @@
 /// the event is late in any case; before, the group may recover.
 const MOVE_SILENCE: Duration = Duration::from_millis(900);
 
+/// Time before callers leave a silent stream at which it ends, so that they resume it elsewhere and no
+/// upstream runs it for nobody.
+const PATIENCE_MARGIN: Duration = Duration::from_millis(50);
+
 /// Result of waiting for the next part of a stream.
 enum Part {
     /// Complete events.
@@ -102,7 +106,10 @@
                 Part::Broken(reason) => reason,
                 Part::Silent => {
                     let upstream = source.as_ref().map(|(_, permit)| permit.upstream.clone());
-                    match find_other(&mut guard.call, upstream, &mut body, &mut splitter).await {
+                    let patience = guard.call.request.route.patience().duration();
+                    let until = silent_since + patience.saturating_sub(PATIENCE_MARGIN);
+                    let search = find_other(&mut guard.call, upstream, &mut body, &mut splitter);
+                    match time::timeout_at(until, search).await.unwrap_or(Found::Nothing) {
                         Found::Other(exchange) => {
                             let exchange = *exchange;
                             leave(&guard.call, source.take(), "silent", progress).await;
@@ -111,11 +118,17 @@
                             body = exchange.response.into_body();
                             source = Some((exchange.connection, exchange.permit));
                             progress = Progress::new();
+                            silent_since = time::Instant::now();
                         }
                         Found::Part(part) => received = Some(part),
-                        Found::Nothing => {}
+                        Found::Nothing => {
+                            leave(&guard.call, source.take(), "silent", progress).await;
+                            guard.ended = true;
+                            record_cut(&guard.call, "silent");
+                            yield Err(reply::Error::from("stream interrupted"));
+                            return;
+                        }
                     }
-                    silent_since = time::Instant::now();
                     continue;
                 }
                 Part::DeadlineExceeded => {
@@ -158,7 +171,7 @@
     Other(Box<Exchange>),
     /// The present upstream went on meanwhile.
     Part(Part),
-    /// No other upstream has taken the stream.
+    /// No upstream goes on.
     Nothing,
 }
 
@@ -179,23 +192,24 @@
         // The connection to the other upstream is dropped; it may have begun.
         call.record.record_outcome(attempt::Outcome::Silent, false, false);
     }
-    if !matches!(found, Found::Other(_)) {
+    if matches!(found, Found::Part(_)) {
         call.record.reopen_attempt();
     }
     found
 }
 
-/// Waits for another upstream or the next part of the present one, whichever comes first. If the
-/// present one breaks off, the other one is still awaited.
+/// Waits for another upstream or the next part of the present one, whichever comes first. If one of
+/// them fails, the other is still awaited.
 async fn search(call: &mut Call, body: &mut Incoming, splitter: &mut Splitter) -> Found {
     let exchange = next_exchange(call, attempt::Outcome::Silent);
     tokio::pin!(exchange);
     let part = tokio::select! {
         biased;
         part = receive_events(body, splitter) => part,
-        exchange = &mut exchange => {
-            return exchange.map_or(Found::Nothing, |exchange| Found::Other(Box::new(exchange)));
-        }
+        exchange = &mut exchange => match exchange {
+            Some(exchange) => return Found::Other(Box::new(exchange)),
+            None => return Found::Part(receive_events(body, splitter).await),
+        },
     };
     if matches!(part, Part::Broken(_))
         && let Some(exchange) = exchange.await
