Testenv: a process is replaced once all of its ports are free

Traced: a process binds TCP and UDP at that port and TCP at the next, a killed one gives them up one after the other as its runtime ends, and the fixture waited for the UDP port alone. It waits for all now.

--- a/crates/agateflowd/tests/testenv/mod.rs
+++ b/crates/agateflowd/tests/testenv/mod.rs
@@ -13,8 +13,8 @@
 use agateflow_standin::configuration::Configuration;
 use agateflow_standin::engine::{self, Engine};
 use agateflow_standin::service::Service;
-use agateflowd::log;
 use agateflowd::process::Process;
+use agateflowd::{link, log};
 use bytes::Bytes;
 use futures::future;
 use http_body_util::BodyExt;
@@ -194,8 +194,8 @@
     pub async fn kill(&mut self) {
         self.process = None;
         self.end();
-        let listen = self.listen;
-        wait_until(|| async move { std::net::UdpSocket::bind(listen).is_ok() }).await;
+        let (listen, link) = (self.listen, link::address(self.listen));
+        wait_until(|| async move { is_free(listen) && is_free(link) }).await;
     }
 
     fn end(&mut self) {
@@ -209,6 +209,11 @@
     }
 }
 
+/// Whether nothing listens at `address`, over UDP or TCP.
+fn is_free(address: SocketAddr) -> bool {
+    std::net::UdpSocket::bind(address).is_ok() && std::net::TcpListener::bind(address).is_ok()
+}
+
 impl Drop for Daemon {
     fn drop(&mut self) {
         self.end();
