--- a/review/standin-2/fleet.py
+++ b/review/standin-2/fleet.py
@@ -9,6 +9,7 @@
 import json
 import os
 import random
+import resource
 import shutil
 import signal
 import socket
@@ -224,12 +225,17 @@
         self.path.write_text(text)
         self.process = None
 
-    async def start(self):
+    async def start(self, max_fds=None):
+        """Starts the process, with the platform's limit of descriptors."""
+        def limit():
+            resource.setrlimit(resource.RLIMIT_NOFILE, (max_fds, max_fds))
+
         log = open(self.fleet.folder / f"{self.name}.log", "ab")
         environment = {key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ}
         environment["AGATEFLOW_SETTINGS"] = str(self.path)
         self.process = await asyncio.create_subprocess_exec(
-            str(PROGRAM), cwd=REPOSITORY, env=environment, stdout=log, stderr=log)
+            str(PROGRAM), cwd=REPOSITORY, env=environment, stdout=log, stderr=log,
+            preexec_fn=limit if max_fds else None)
         self.fleet.record.line(f"start {self.name}")
 
     def send(self, number):
