--- a/crates/agateflowd/tests/testenv/mod.rs
+++ b/crates/agateflowd/tests/testenv/mod.rs
@@ -18,7 +18,7 @@
 use bytes::Bytes;
 use futures::future;
 use http_body_util::BodyExt;
-use rustix::process::{Pid, Signal};
+use rustix::process::{Pid, Resource, Rlimit, Signal};
 use serde_json::json;
 use tokio::runtime::{self, Runtime};
 use tokio::task::JoinHandle;
@@ -55,6 +55,8 @@
     pub children: bool,
     /// Address of the plain services in place of the stand-ins.
     pub service_address: Option<SocketAddr>,
+    /// Descriptors that each child may open.
+    pub max_descriptors: Option<u64>,
 }
 
 impl Plan {
@@ -68,6 +70,7 @@
             burst: 10_000,
             children: false,
             service_address: None,
+            max_descriptors: None,
         }
     }
 
@@ -90,6 +93,12 @@
         self
     }
 
+    /// Limits the descriptors of each child.
+    pub fn with_max_descriptors(mut self, count: u64) -> Self {
+        self.max_descriptors = Some(count);
+        self
+    }
+
     pub fn with_entries(mut self, entries: usize) -> Self {
         self.entries = entries;
         self
@@ -123,6 +132,7 @@
     addresses: Addresses,
     children: bool,
     service_address: Option<SocketAddr>,
+    max_descriptors: Option<u64>,
 }
 
 /// A process that can be killed with all it does: on a runtime of its own, or a child.
@@ -156,7 +166,7 @@
     }
 
     /// Starts the program with settings from a file.
-    fn start_child(text: &str) -> Self {
+    fn start_child(text: &str, max_descriptors: Option<u64>) -> Self {
         let mut daemon = Self::new(&settings::parse(text).unwrap());
         let name = format!("settings-{}.json", daemon.listen.ip());
         let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
@@ -164,6 +174,10 @@
         let mut command = Command::new(env!("CARGO_BIN_EXE_agateflowd"));
         let child = command.arg(path).stderr(Stdio::null()).spawn().unwrap();
         daemon.child = Some(child);
+        if let Some(count) = max_descriptors {
+            let limit = Rlimit { current: Some(count), maximum: Some(count) };
+            rustix::process::prlimit(Some(daemon.pid()), Resource::Nofile, limit).unwrap();
+        }
         daemon
     }
 
@@ -177,11 +191,28 @@
         self.runtime.as_ref().unwrap().spawn(process.drain())
     }
 
+    /// Id of the child.
+    pub fn id(&self) -> u32 {
+        self.child.as_ref().unwrap().id()
+    }
+
+    fn pid(&self) -> Pid {
+        Pid::from_raw(self.id().try_into().unwrap()).unwrap()
+    }
+
     /// Sends a signal to the child.
     pub fn signal(&self, signal: Signal) {
-        let id = self.child.as_ref().unwrap().id();
-        let id = Pid::from_raw(id.try_into().unwrap()).unwrap();
-        rustix::process::kill_process(id, signal).unwrap();
+        rustix::process::kill_process(self.pid(), signal).unwrap();
+    }
+
+    /// Address for other processes over TCP and UDP.
+    pub const fn listen(&self) -> SocketAddr {
+        self.listen
+    }
+
+    /// Address of the pages for operators.
+    pub const fn operators(&self) -> SocketAddr {
+        self.operators
     }
 
     /// Waits until the child has ended; whether it ended well.
@@ -313,6 +344,7 @@
             addresses,
             children: plan.children,
             service_address: plan.service_address,
+            max_descriptors: plan.max_descriptors,
         };
         let upstreams = (0..plan.engines + plan.services).map(|index| fleet.start_upstream(index));
         let entries = (0..plan.entries).map(|index| fleet.start_entry(index));
@@ -350,7 +382,7 @@
         let service = self.configuration.host().address();
         let text = settings_text(vm, role, service, &self.addresses.entries);
         match self.children {
-            true => Daemon::start_child(&text),
+            true => Daemon::start_child(&text, self.max_descriptors),
             false => Daemon::start(settings::parse(&text).unwrap()).await,
         }
     }
