Intake: one budget of what an entry holds for callers, decided without a network

A ledger has an account for each connection, charged with the connection itself, the head, the part of a body that has arrived, the whole request and the response that is not read yet, and released at every end. When it is full, those go that hold much and move little, from the team and the caller that hold most; small requests that move, and requests that may run at an upstream, never go.

--- a/crates/agateflow/src/event.rs
+++ b/crates/agateflow/src/event.rs
@@ -164,6 +164,10 @@
     718 RateLimitNamed Info "upstream named its rate limit";
     /// An upstream said in a response that it accepts no requests for a while, or that it leaves.
     719 UpstreamNotice Info "upstream asks for no requests";
+    /// A caller's connection has to go, as callers hold all the memory or connections that they may.
+    720 CallerEvicted Warning "caller evicted";
+    /// A new connection was closed at once, as all others are at work.
+    721 CallerTurnedAway Warning "connection turned away";
 }
 
 impl Event {
--- a/crates/agateflow/src/intake/ledger.rs
+++ b/crates/agateflow/src/intake/ledger.rs
@@ -278,7 +278,7 @@
         match first? {
             Class::Idle => longest_idle(&candidates),
             Class::SlowLarge | Class::Large | Class::SlowSmall => {
-                let team = heaviest(&candidates, |candidate| candidate.team());
+                let team = heaviest(&candidates, Candidate::team);
                 candidates.retain(|candidate| Some(candidate.team()) == team);
                 let caller = heaviest(&candidates, |candidate| candidate.account.caller);
                 candidates.retain(|candidate| Some(candidate.account.caller) == caller);
--- a/crates/agateflow/src/intake/limits.rs
+++ b/crates/agateflow/src/intake/limits.rs
@@ -32,6 +32,13 @@
 /// Part of the callers' memory that connections may take while they hold nothing else, one in so many.
 const CONNECTIONS_PART: u64 = 2;
 
+/// Part of the memory that the responses of a page may take, one in so many, and the least.
+const PAGE_PART: u64 = 16;
+const MIN_PAGE: unit::Bytes = unit::Bytes::new(4 << 20);
+
+/// Connections to a page.
+const PAGE_CONNECTIONS: usize = 16;
+
 /// The machine that a process runs on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -69,6 +76,16 @@
         }
     }
 
+    /// Derives the limits of a page for operators or other processes from the machine.
+    pub fn for_page(machine: Machine) -> Self {
+        let memory = unit::Bytes::new(machine.memory.get() / PAGE_PART);
+        Self {
+            memory: memory.max(MIN_PAGE),
+            reserve: unit::Bytes::ZERO,
+            connections: PAGE_CONNECTIONS,
+        }
+    }
+
     /// Lowers the limit on connections to `connections`.
     pub fn with_connections(mut self, connections: usize) -> Self {
         self.connections = self.connections.min(connections.max(1));
--- a/crates/agateflow/src/lib.rs
+++ b/crates/agateflow/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod fleet;
 pub mod group;
 pub mod id;
+pub mod intake;
 pub mod kernel;
 pub mod limit;
 pub mod lockstep;
