Direct path: what callers hold is charged to one budget, on all ports

What callers saw: the process ended for its memory, and all of its requests in progress with it. Cause: nothing bounded the sum of the bodies; the frames of the HTTP library were collected, each of which keeps its read buffer alive, so that a body in chunks of one byte took forty times its size; a body announced far over the limit was read all the same; a caller that stopped reading its response was never closed; connections to any port took the last descriptors.

Bodies and responses are now copied into blocks that are charged to the caller's connection and released with the last copy of them. A body must arrive within the request's own time, not only within 10 s. Callers' sockets have small receive buffers. Changed settings change the budget at once.

--- a/crates/agateflow/src/direct/suspect.rs
+++ b/crates/agateflow/src/direct/suspect.rs
@@ -24,7 +24,23 @@
 impl Fingerprint {
     /// Hashes a request.
     pub fn new(team: &str, method: &str, target: &str, body: &[u8]) -> Self {
-        let mut hash = xxh3::xxh3_64(body);
+        Self::with_body_hash(team, method, target, xxh3::xxh3_64(body))
+    }
+
+    /// Hashes a request whose body is in parts, as if they were joined.
+    pub fn with_parts<'a>(
+        team: &str,
+        method: &str,
+        target: &str,
+        body: impl Iterator<Item = &'a [u8]>,
+    ) -> Self {
+        let mut hasher = xxh3::Xxh3::new();
+        body.for_each(|part| hasher.update(part));
+        Self::with_body_hash(team, method, target, hasher.digest())
+    }
+
+    fn with_body_hash(team: &str, method: &str, target: &str, body: u64) -> Self {
+        let mut hash = body;
         for part in [team, method, target] {
             hash = xxh3::xxh3_64_with_seed(part.as_bytes(), hash);
         }
--- a/crates/agateflowd/src/direct/agent.rs
+++ b/crates/agateflowd/src/direct/agent.rs
@@ -10,7 +10,7 @@
 use agateflow::lockstep::events;
 use agateflow::lockstep::messaging::{self, Outbox};
 use agateflow::lockstep::report::{Order, Report};
-use agateflow::{id, unit};
+use agateflow::{id, intake, unit};
 use indexmap::IndexSet;
 use tokio::net::UdpSocket;
 use tokio::signal::unix;
@@ -19,6 +19,7 @@
 use super::adapter::{Rank, RankError, Receipt};
 use super::{endpoint, socket, takeover};
 use crate::error::Error;
+use crate::intake::Intake;
 use crate::{event, meter, signal};
 
 /// Interval between reads of the rank's state.
@@ -59,6 +60,8 @@
     pub metrics_address: Option<SocketAddr>,
     /// Entries to contact first.
     pub seeds: Vec<SocketAddr>,
+    /// Memory and sockets of the VM.
+    pub machine: intake::Machine,
 }
 
 struct Process<R> {
@@ -99,7 +102,9 @@
     let socket = socket.map_err(|error| Error::Bind(options.peer_address, error))?;
     if let Some(address) = options.metrics_address {
         let listener = socket::listen(address).map_err(|error| Error::Bind(address, error))?;
-        task::spawn_local(endpoint::serve_metrics(logger.clone(), listener));
+        let limits = intake::Limits::for_page(options.machine);
+        let intake = Intake::new(limits, logger.clone());
+        task::spawn_local(endpoint::serve_metrics(intake, logger.clone(), listener));
         task::spawn_local(meter::upkeep());
     }
     let end = signal::end()?;
--- a/crates/agateflowd/src/direct/call.rs
+++ b/crates/agateflowd/src/direct/call.rs
@@ -2,17 +2,18 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::sync::Arc;
 
 use agateflow::direct::attempt;
 use agateflow::direct::load::Health;
 use agateflow::direct::response::Signs;
 use agateflow::event::Event;
+use agateflow::intake::Stage;
 use agateflow::{id, outcome, unit};
-use bytes::Bytes;
 use http::header::CONTENT_LENGTH;
 use http::{Response, StatusCode, request as head, response};
-use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
+use http_body_util::BodyExt;
+use hyper::body::{Body as _, Incoming};
 use tokio::time;
 
 use super::exchange::{self, Exchange};
@@ -20,15 +21,16 @@
 use super::reply::{self, Body};
 use super::request::{self, Request};
 use super::{Entry, stream};
-use crate::event;
+use crate::blocks::{self, Blocks};
 use crate::meter::{self, Class, Meter};
+use crate::{event, intake};
 
 /// Least remaining time for another attempt.
 const MIN_ATTEMPT_TIME: unit::Millis = unit::Millis::new(30);
 
 /// Largest response that is no stream, in bytes. It is buffered whole so that another upstream can
 /// be tried if it breaks off.
-const MAX_RESPONSE_BYTES: usize = 8 << 20;
+const MAX_RESPONSE_BYTES: u64 = 8 << 20;
 
 /// `retry-after` while the entry has no configuration.
 const NO_CONFIG_RETRY_AFTER: unit::Millis = unit::Millis::new(500);
@@ -39,12 +41,17 @@
 /// `retry-after` while the entry shuts down. Other entries take new connections at once.
 const SHUTDOWN_RETRY_AFTER: unit::Millis = unit::Millis::new(100);
 
+/// What a caller is told that has to make room for others.
+const EVICTED_REASON: &str = "callers hold too much";
+
 /// A request in progress, with its attempts.
 pub struct Call {
     /// The entry.
     pub entry: Rc<Entry>,
     /// The request.
     pub request: Request,
+    /// The caller's connection.
+    pub connection: Arc<intake::Connection>,
     /// Attempts so far.
     pub record: attempt::Tracker,
     /// Upstreams already tried.
@@ -63,7 +70,7 @@
     pub in_flight: Rc<Cell<bool>>,
     /// What the head of the last response said, if its status was no success.
     pub last_error: Option<Signs>,
-    upstream_failure: Option<Response<Bytes>>,
+    upstream_failure: Option<Response<Blocks>>,
 }
 
 /// Logs a caller that disconnects before its response begins, which drops the request.
@@ -90,12 +97,17 @@
 }
 
 /// Serves one request.
-pub async fn serve(entry: Rc<Entry>, head: head::Parts, body: Incoming) -> Response<Body> {
+pub async fn serve(
+    entry: Rc<Entry>,
+    connection: Arc<intake::Connection>,
+    head: head::Parts,
+    body: Incoming,
+) -> Response<Body> {
     let _request_guard = entry.track_request();
     let arrived = entry.now();
     let id = entry.dialect.parse_request(&head).id;
-    match request::read(&entry, head, body, arrived).await {
-        Ok(request) => Call::new(entry, request).run().await,
+    match request::read(&entry, &connection, head, body, arrived).await {
+        Ok(request) => Call::new(entry, connection, request).run().await,
         Err(error) => {
             event!(entry.logger, Event::RequestRejected; "id" => &*id,
                 "reason" => %error, "version" => entry.config_version());
@@ -105,6 +117,9 @@
 }
 
 fn reject(error: request::Error) -> Response<Body> {
+    if let request::Error::Full(full) = error {
+        return reply::refusal(&full.to_string(), intake::RETRY_AFTER);
+    }
     match error.status() {
         StatusCode::SERVICE_UNAVAILABLE => {
             reply::refusal(&error.to_string(), NO_CONFIG_RETRY_AFTER)
@@ -114,7 +129,7 @@
 }
 
 impl Call {
-    fn new(entry: Rc<Entry>, request: Request) -> Self {
+    fn new(entry: Rc<Entry>, connection: Arc<intake::Connection>, request: Request) -> Self {
         let class = if request.route.kind.is_stream() { Class::Stream } else { Class::Plain };
         let team = request.team.as_ref().map_or("", id::Team::as_str);
         Self {
@@ -130,6 +145,7 @@
             upstream_failure: None,
             entry,
             request,
+            connection,
         }
     }
 
@@ -149,10 +165,15 @@
         let (entry, id) = (self.entry.clone(), self.request.info.id.clone());
         let mut guard = Guard::new(entry.clone(), id.clone(), in_flight.clone());
         let maybe_ran = Rc::new(Cell::new(false));
+        let connection = self.connection.clone();
         let ran = maybe_ran.clone();
         let response = tokio::select! {
             response = time::timeout_at(deadline, self.run_attempts(ran)) => response.ok(),
             () = entry.wait_for_answers_due() => None,
+            () = evicted_while_waiting(&connection, &in_flight, &maybe_ran) => {
+                guard.response_began = true;
+                return refuse_evicted(&entry, &id);
+            }
         };
         guard.response_began = true;
         if let Some(response) = response {
@@ -171,6 +192,9 @@
 
     async fn run_attempts(mut self, ran: Rc<Cell<bool>>) -> Response<Body> {
         loop {
+            if !ran.get() {
+                self.connection.enter(Stage::Waiting);
+            }
             let end = match self.send_attempt().await {
                 Ok(exchange) if is_event_stream(&exchange.response) => {
                     return stream::forward(self, exchange);
@@ -229,16 +253,21 @@
         let Exchange { response, connection, permit } = exchange;
         let (head, body) = response.into_parts();
         let vm = permit.upstream.vm.clone();
-        let Ok(body) = Limited::new(body, MAX_RESPONSE_BYTES).collect().await else {
-            event!(self.entry.logger, Event::UpstreamFailed; "id" => &*self.request.info.id,
-                "upstream" => %vm, "reason" => "response incomplete or too long",
-                "answered" => false);
-            self.end_attempt(&permit.upstream, attempt::Outcome::Broken, Health::Bad);
-            self.entry.check_crash(&self.request, permit.granted_at, &permit.upstream).await;
-            return Err(attempt::Outcome::Broken);
+        let body = match collect_body(body, &self.connection).await {
+            Ok(body) => body,
+            Err(Collect::Full(full)) => {
+                return Ok(self.fail(StatusCode::BAD_GATEWAY, &full.to_string()));
+            }
+            Err(Collect::Broken) => {
+                event!(self.entry.logger, Event::UpstreamFailed; "id" => &*self.request.info.id,
+                    "upstream" => %vm, "reason" => "response incomplete or too long",
+                    "answered" => false);
+                self.end_attempt(&permit.upstream, attempt::Outcome::Broken, Health::Bad);
+                self.entry.check_crash(&self.request, permit.granted_at, &permit.upstream).await;
+                return Err(attempt::Outcome::Broken);
+            }
         };
         connection.release();
-        let body = body.to_bytes();
         if head.status.is_success() {
             self.entry.load.borrow_mut().observe(&vm, Health::Good, self.entry.now());
             self.entry.suspects.borrow_mut().clear(self.request.fingerprint);
@@ -257,10 +286,10 @@
         Err(end)
     }
 
-    fn forward_response(&mut self, head: response::Parts, body: Bytes) -> Response<Body> {
+    fn forward_response(&mut self, head: response::Parts, body: Blocks) -> Response<Body> {
         self.meter.part();
         self.record_end(head.status, outcome::Outcome::Ran);
-        let mut response = Response::from_parts(head, reply::full(body));
+        let mut response = Response::from_parts(head, reply::whole(body));
         let is_head = self.request.method == http::Method::HEAD;
         let length = response.headers().get(CONTENT_LENGTH).cloned();
         let headers = std::mem::take(response.headers_mut());
@@ -296,6 +325,7 @@
             Refusal::Quarantined(retry_delay) => {
                 self.refuse("request crashes upstreams", retry_delay)
             }
+            Refusal::Evicted => self.refuse(EVICTED_REASON, intake::RETRY_AFTER),
         }
     }
 
@@ -333,6 +363,50 @@
     }
 }
 
+/// Why a body was not collected.
+enum Collect {
+    /// There is no memory for it.
+    Full(intake::Full),
+    /// It is incomplete or too long.
+    Broken,
+}
+
+/// Collects the body of a response, charged to the caller's connection.
+async fn collect_body(
+    mut body: Incoming,
+    connection: &Arc<intake::Connection>,
+) -> Result<Blocks, Collect> {
+    let announced = body.size_hint().exact();
+    let mut builder = blocks::Builder::new(connection, announced).await.map_err(Collect::Full)?;
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| Collect::Broken)?;
+        let Ok(bytes) = frame.into_data() else { continue };
+        if builder.length() + bytes.len() as u64 > MAX_RESPONSE_BYTES {
+            return Err(Collect::Broken);
+        }
+        builder.push(&bytes).await.map_err(Collect::Full)?;
+    }
+    Ok(builder.finish())
+}
+
+/// Waits until the connection of a request has to go that was sent to no upstream.
+async fn evicted_while_waiting(
+    connection: &intake::Connection,
+    in_flight: &Cell<bool>,
+    maybe_ran: &Cell<bool>,
+) {
+    connection.evicted().await;
+    if in_flight.get() || maybe_ran.get() {
+        std::future::pending::<()>().await;
+    }
+}
+
+fn refuse_evicted(entry: &Entry, id: &str) -> Response<Body> {
+    event!(entry.logger, Event::RequestRefused; "id" => id, "reason" => EVICTED_REASON,
+        "retry_after" => %intake::RETRY_AFTER, "sent" => 0, "maybe_ran" => false);
+    reply::refusal(EVICTED_REASON, intake::RETRY_AFTER)
+}
+
 /// What the caller is told of an attempt after which it is unknown whether the request ran.
 const fn failure_reason(end: attempt::Outcome) -> &'static str {
     match end {
--- a/crates/agateflowd/src/direct/entry.rs
+++ b/crates/agateflowd/src/direct/entry.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Instant;
 
 use agateflow::direct::directory::{Change, Directory, Removals, Revision, Upstream};
@@ -10,7 +11,7 @@
 use agateflow::direct::load::Load;
 use agateflow::direct::{budget, config, drain, peer, quarantine, rate, suspect};
 use agateflow::event::Event;
-use agateflow::{id, unit};
+use agateflow::{id, intake, unit};
 use indexmap::IndexMap;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -21,6 +22,7 @@
 use super::pool::Pool;
 use super::waiting::Service;
 use crate::event;
+use crate::intake::{Intake, fit_process};
 
 /// Startup options of an entry.
 #[derive(Clone, Debug)]
@@ -45,6 +47,8 @@
     pub grace_period: unit::Millis,
     /// Interval at which upstreams renew their registrations.
     pub renewal_interval: unit::Millis,
+    /// Memory and sockets of the VM.
+    pub machine: intake::Machine,
 }
 
 /// A load balancer process.
@@ -57,6 +61,8 @@
     pub dialect: Box<dyn Dialect>,
     /// Idle connections to upstreams.
     pub pool: Rc<Pool>,
+    /// Connections of callers and what they hold.
+    pub intake: Arc<Intake>,
     /// Logger of the process.
     pub logger: slog::Logger,
     /// Upstreams of the registry.
@@ -101,7 +107,9 @@
     pub fn new(options: Options, dialect: Box<dyn Dialect>, logger: slog::Logger) -> Rc<Self> {
         let directory = Directory::new().with_renewal_interval(options.renewal_interval);
         let peers = peer::Table::new(options.peer_address, options.seeds.iter().copied());
+        let limits = intake::Limits::new(fit_process(options.machine));
         Rc::new(Self {
+            intake: Intake::new(limits, logger.clone()),
             incarnation: id::Incarnation::new(rand::random()),
             dialect,
             pool: Rc::default(),
@@ -219,6 +227,11 @@
             && !self.is_shutting_down()
     }
 
+    /// Applies the memory and sockets of the VM that changed settings name.
+    pub fn set_machine(&self, machine: intake::Machine) {
+        self.intake.set_limits(intake::Limits::new(fit_process(machine)));
+    }
+
     /// Whether the process is shutting down.
     pub fn is_shutting_down(&self) -> bool {
         *self.shutting_down.borrow()
--- a/crates/agateflowd/src/direct/exchange.rs
+++ b/crates/agateflowd/src/direct/exchange.rs
@@ -8,10 +8,10 @@
 use agateflow::direct::queue::Item;
 use agateflow::direct::response::Classification;
 use agateflow::event::Event;
+use agateflow::intake::Stage;
 use agateflow::unit;
-use bytes::Bytes;
 use http::{Response, Uri};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use tokio::time;
 
@@ -19,6 +19,7 @@
 use super::call::Call;
 use super::permit::{self, Permit, Refusal};
 use super::pool;
+use crate::blocks::Blocks;
 use crate::notice::Notice;
 use crate::{event, meter};
 
@@ -89,6 +90,9 @@
             permit = self.entry.acquire_permit(&permit_request) => permit,
         };
         let permit = permit.map_err(Error::Refused)?;
+        if !self.connection.enter(Stage::Running) && !self.record.maybe_ran() {
+            return Err(Error::Refused(Refusal::Evicted));
+        }
         let upstream = permit.upstream.clone();
         let run_once = !self.request.route.kind.may_repeat();
         let id = &self.request.info.id;
@@ -166,17 +170,14 @@
     }
 
     /// The request in the form sent to `upstream`, which must still be listed.
-    fn outgoing_request(
-        &mut self,
-        upstream: &Upstream,
-    ) -> Result<http::Request<Full<Bytes>>, Error> {
+    fn outgoing_request(&mut self, upstream: &Upstream) -> Result<http::Request<Blocks>, Error> {
         let now = self.entry.now();
         let listed = self.entry.directory.borrow().get(&upstream.vm).cloned();
         if listed.is_none_or(|listed| listed.started_at != upstream.started_at) {
             self.tried.push(upstream.vm.clone());
             return Err(Error::Ended(attempt::Outcome::Unsent));
         }
-        let mut outgoing = http::Request::new(Full::new(self.request.body.clone()));
+        let mut outgoing = http::Request::new(self.request.body.clone());
         *outgoing.method_mut() = self.request.method.clone();
         let target = self.request.target.path_and_query().cloned();
         *outgoing.uri_mut() = target.map_or_else(Uri::default, Uri::from);
@@ -195,7 +196,7 @@
         &self,
         connection: &mut pool::Connection,
         upstream: &Upstream,
-        outgoing: http::Request<Full<Bytes>>,
+        outgoing: http::Request<Blocks>,
     ) -> Result<Response<Incoming>, Option<pool::Error>> {
         let outcome = time::timeout(self.response_timeout(), connection.send(outgoing));
         tokio::select! {
--- a/crates/agateflowd/src/direct/permit.rs
+++ b/crates/agateflowd/src/direct/permit.rs
@@ -39,6 +39,8 @@
     Busy(unit::Millis),
     /// The request crashes upstreams.
     Quarantined(unit::Millis),
+    /// The caller's connection has to go.
+    Evicted,
 }
 
 /// Permission to send a request, given back on drop.
--- a/crates/agateflowd/src/direct/pool.rs
+++ b/crates/agateflowd/src/direct/pool.rs
@@ -6,15 +6,14 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use http::{HeaderMap, Request, Response};
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use indexmap::IndexMap;
 use tokio::task;
 
 use super::socket;
+use crate::blocks::Blocks;
 
 /// Timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
@@ -57,7 +56,7 @@
 }
 
 struct Idle {
-    sender: http1::SendRequest<Full<Bytes>>,
+    sender: http1::SendRequest<Blocks>,
     task: task::AbortHandle,
     idle_since: Instant,
     idle_timeout: Duration,
@@ -84,7 +83,7 @@
 
 /// A connection in use. Dropping it closes the connection.
 pub struct Connection {
-    sender: Option<http1::SendRequest<Full<Bytes>>>,
+    sender: Option<http1::SendRequest<Blocks>>,
     task: task::AbortHandle,
     address: SocketAddr,
     reused: bool,
@@ -172,10 +171,7 @@
     /// # Errors
     ///
     /// [`Error`].
-    pub async fn send(
-        &mut self,
-        request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, Error> {
+    pub async fn send(&mut self, request: Request<Blocks>) -> Result<Response<Incoming>, Error> {
         let peer = self.address;
         let Some(sender) = self.sender.as_mut() else {
             return Err(Error::Unsent { peer, reason: "closed".into() });
--- a/crates/agateflowd/src/direct/reply.rs
+++ b/crates/agateflowd/src/direct/reply.rs
@@ -9,6 +9,8 @@
 use http::{Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 
+use crate::blocks::Blocks;
+
 /// Error of a body that ends early.
 pub type Error = Box<dyn std::error::Error + Send + Sync>;
 
@@ -20,6 +22,11 @@
     Box::pin(Full::new(bytes).map_err(|never: Infallible| match never {}))
 }
 
+/// A body in blocks.
+pub fn whole(blocks: Blocks) -> Body {
+    Box::pin(blocks.map_err(|never: Infallible| match never {}))
+}
+
 /// Response with a problem document.
 pub fn problem(status: StatusCode, reason: &str) -> Response<Body> {
     let text = serde_json::json!({ "status": status.as_u16(), "title": reason }).to_string();
--- a/crates/agateflowd/src/direct/request.rs
+++ b/crates/agateflowd/src/direct/request.rs
@@ -1,25 +1,29 @@
 //! Reads a caller's request whole and matches it with a route and a team.
 
 use std::rc::Rc;
-use std::time::Duration;
+use std::sync::Arc;
 
 use agateflow::direct::{config, quarantine, suspect};
 use agateflow::{id, unit};
-use bytes::Bytes;
 use http::header::{
     CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderMap, HeaderName, TE, TRAILER,
     TRANSFER_ENCODING, UPGRADE,
 };
 use http::{Method, StatusCode, Uri, request};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
 use tokio::time;
 
 use super::Entry;
 use super::adapter::Head;
+use crate::blocks::{self, Blocks};
+use crate::intake::{self, Charge, Connection};
 
 /// Timeout for reading the body of a request.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+const BODY_TIMEOUT: unit::Millis = unit::Millis::new(10_000);
+
+/// Memory of a request beside its body: its state, and the buffer that its head was read into.
+const REQUEST_BYTES: u64 = 24 << 10;
 
 /// Hop-by-hop headers, which are not forwarded.
 const HOP_BY_HOP_HEADERS: [HeaderName; 8] = [
@@ -34,7 +38,6 @@
 ];
 
 /// A request to be forwarded to an upstream.
-#[derive(Debug)]
 pub struct Request {
     /// Configuration under which it is handled.
     pub table: Rc<config::Table>,
@@ -55,7 +58,7 @@
     /// Headers without hop-by-hop headers.
     pub headers: HeaderMap,
     /// Its body.
-    pub body: Bytes,
+    pub body: Blocks,
     /// When the head had arrived.
     pub arrived: unit::Millis,
     /// Instant by which the caller gets the final response.
@@ -64,6 +67,8 @@
     pub fingerprint: suspect::Fingerprint,
     /// Parts of its prompt that other requests may share.
     pub parts: Box<[quarantine::Part]>,
+    /// What it holds beside its body.
+    _charge: Charge,
 }
 
 impl Request {
@@ -101,6 +106,9 @@
     /// The route has no service.
     #[error("route without service")]
     NoService,
+    /// There is no memory for it.
+    #[error("{0}")]
+    Full(#[from] intake::Full),
 }
 
 impl Error {
@@ -108,7 +116,7 @@
     pub const fn status(self) -> StatusCode {
         match self {
             Error::AmbiguousLength | Error::BodyIncomplete => StatusCode::BAD_REQUEST,
-            Error::NoConfig | Error::NoService => StatusCode::SERVICE_UNAVAILABLE,
+            Error::NoConfig | Error::NoService | Error::Full(_) => StatusCode::SERVICE_UNAVAILABLE,
             Error::NoRoute => StatusCode::NOT_FOUND,
             Error::UnknownKey => StatusCode::UNAUTHORIZED,
             Error::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
@@ -124,8 +132,23 @@
 /// [`Error`]; nothing was forwarded then.
 pub async fn read(
     entry: &Rc<Entry>,
+    connection: &Arc<Connection>,
+    head: request::Parts,
+    mut body: Incoming,
+    arrived: unit::Millis,
+) -> Result<Request, Error> {
+    let request = read_whole(entry, connection, head, &mut body, arrived).await;
+    if request.is_err() && !body.is_end_stream() {
+        connection.leave_body_unread();
+    }
+    request
+}
+
+async fn read_whole(
+    entry: &Rc<Entry>,
+    connection: &Arc<Connection>,
     head: request::Parts,
-    body: Incoming,
+    body: &mut Incoming,
     arrived: unit::Millis,
 ) -> Result<Request, Error> {
     if head.headers.contains_key(CONTENT_LENGTH) && head.headers.contains_key(TRANSFER_ENCODING) {
@@ -137,14 +160,18 @@
     let route = table.route(host, head.uri.path()).ok_or(Error::NoRoute)?.clone();
     let team = find_team(&table, &route, &info)?;
     let service = route.pick_service(&mut *entry.rng.borrow_mut()).ok_or(Error::NoService)?.clone();
-    let body = read_body(body, table.limits().body).await?;
+    connection.set_team(team.as_ref().map(|team| team.name.clone()));
+    let charge = connection.charge(REQUEST_BYTES).await?;
     let time_limit = info.caller_timeout.unwrap_or(route.timeout).min(route.timeout);
+    let body_due = entry.instant_at(arrived + time_limit.min(BODY_TIMEOUT));
+    let reading = read_body(body, table.limits().body, connection);
+    let body = time::timeout_at(body_due, reading).await.map_err(|_| Error::BodyTooSlow)??;
     let name = team.as_ref().map_or("", |team| team.name.as_str());
     let target = head.uri.path_and_query().map_or("/", |target| target.as_str());
     let parts = info.prompt_parts.iter();
     Ok(Request {
         parts: parts.map(|id| quarantine::Part::new(service.as_str(), id.as_bytes())).collect(),
-        fingerprint: suspect::Fingerprint::new(name, head.method.as_str(), target, &body),
+        fingerprint: fingerprint(name, &head.method, target, &body),
         priority: team.as_ref().and_then(|team| team.priority).unwrap_or(route.priority),
         team: team.map(|team| team.name),
         route,
@@ -157,9 +184,14 @@
         arrived,
         deadline: arrived + time_limit,
         table,
+        _charge: charge,
     })
 }
 
+fn fingerprint(team: &str, method: &Method, target: &str, body: &Blocks) -> suspect::Fingerprint {
+    suspect::Fingerprint::with_parts(team, method.as_str(), target, body.parts())
+}
+
 fn host_name(head: &request::Parts) -> &str {
     let header = head.headers.get(HOST).and_then(|value| value.to_str().ok());
     let host = head.uri.authority().map(http::uri::Authority::as_str).or(header).unwrap_or("");
@@ -178,13 +210,31 @@
     table.team(key).cloned().map(Some).ok_or(Error::UnknownKey)
 }
 
-async fn read_body(body: Incoming, limit: unit::Bytes) -> Result<Bytes, Error> {
-    let limited = Limited::new(body, limit.get() as usize);
-    match time::timeout(BODY_TIMEOUT, limited.collect()).await {
-        Err(_) => Err(Error::BodyTooSlow),
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Error::BodyTooLong),
-        Ok(Err(_)) => Err(Error::BodyIncomplete),
+/// Reads a body of at most `limit`, charged to the connection.
+async fn read_body(
+    body: &mut Incoming,
+    limit: unit::Bytes,
+    connection: &Arc<Connection>,
+) -> Result<Blocks, Error> {
+    if body.size_hint().lower() > limit.get() {
+        return Err(Error::BodyTooLong);
+    }
+    let mut builder = blocks::Builder::new(connection, body.size_hint().exact()).await?;
+    let evicted = connection.evicted();
+    tokio::pin!(evicted);
+    loop {
+        let frame = tokio::select! {
+            biased;
+            frame = body.frame() => frame,
+            () = &mut evicted => return Err(intake::Full.into()),
+        };
+        let Some(frame) = frame else { return Ok(builder.finish()) };
+        let Ok(bytes) = frame.map_err(|_| Error::BodyIncomplete)?.into_data() else { continue };
+        if builder.length() + bytes.len() as u64 > limit.get() {
+            return Err(Error::BodyTooLong);
+        }
+        builder.record(&bytes);
+        builder.push(&bytes).await?;
     }
 }
 
--- a/crates/agateflowd/src/direct/run.rs
+++ b/crates/agateflowd/src/direct/run.rs
@@ -37,6 +37,7 @@
     let (close, closed) = watch::channel(false);
     serve_endpoints(&entry)?;
     task::spawn_local(meter::upkeep());
+    task::spawn_local(entry.intake.clone().report());
     start_gossip(&entry).await?;
     task::spawn_local(peer_sync::run(entry.clone()));
     task::spawn_local(peer_sync::run_housekeeping(entry.clone()));
--- a/crates/agateflowd/src/direct/socket.rs
+++ b/crates/agateflowd/src/direct/socket.rs
@@ -1,12 +1,13 @@
 //! TCP sockets that detect an unresponsive peer.
 
+use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use agateflow::event::Event;
 use bytes::Bytes;
-use http_body_util::Full;
+use http_body::Body;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
@@ -30,6 +31,19 @@
 /// Length of the listen backlog.
 const BACKLOG: u32 = 512;
 
+/// The same for other processes of the system.
+const LINK_BACKLOG: u32 = 64;
+
+/// Receive buffer of sockets to other processes of the system.
+const LINK_BUFFER_BYTES: u32 = 512 << 10;
+
+/// Receive buffer of callers' sockets: what they send while nothing is read stays in the kernel up to about twice
+/// this size.
+const CALLER_BUFFER_BYTES: u32 = 16 << 10;
+
+/// Receive buffer of sockets to upstreams: as much of a response waits there while its caller does not read.
+const UPSTREAM_BUFFER_BYTES: usize = 64 << 10;
+
 /// Sets no-delay, keepalive and user timeout.
 ///
 /// # Errors
@@ -71,12 +85,17 @@
 /// # Errors
 ///
 /// Those of the connection.
-pub async fn open_http(
+pub async fn open_http<B>(
     address: SocketAddr,
     time_limit: Duration,
-) -> Result<(http1::SendRequest<Full<Bytes>>, task::AbortHandle), Box<str>> {
+) -> Result<(http1::SendRequest<B>, task::AbortHandle), Box<str>>
+where
+    B: Body<Data = Bytes, Error = Infallible> + 'static,
+{
     let text = |error: &dyn std::fmt::Display| -> Box<str> { error.to_string().into() };
     let stream = connect(address, time_limit).await.map_err(|error| text(&error))?;
+    // A platform without such buffers bounds what it holds by itself.
+    drop(SockRef::from(&stream).set_recv_buffer_size(UPSTREAM_BUFFER_BYTES));
     let opened = http1::handshake(TokioIo::new(stream)).await;
     let (sender, connection) = opened.map_err(|error| text(&error))?;
     // The sender reports the connection's errors.
@@ -85,10 +104,10 @@
 }
 
 /// Accepts the next connection, with retries after errors.
-pub async fn accept(listener: &TcpListener, logger: &slog::Logger) -> TcpStream {
+pub async fn accept(listener: &TcpListener, logger: &slog::Logger) -> (TcpStream, SocketAddr) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => return stream,
+            Ok(accepted) => return accepted,
             Err(error) => {
                 event!(logger, Event::AcceptFailed; "reason" => %error);
                 time::sleep(ACCEPT_RETRY_DELAY).await;
@@ -103,8 +122,31 @@
 ///
 /// Those of the socket.
 pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
-    let socket = TcpSocket::new_v4()?;
-    socket.set_reuseaddr(true)?;
+    let socket = new_socket(address)?;
+    // A platform without such buffers bounds what it holds by itself.
+    drop(socket.set_recv_buffer_size(CALLER_BUFFER_BYTES));
     socket.bind(address)?;
     socket.listen(BACKLOG)
 }
+
+/// Listens at `address` for other processes of the system.
+///
+/// # Errors
+///
+/// Those of the socket.
+pub fn listen_links(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = new_socket(address)?;
+    // A platform without such buffers bounds what it holds by itself.
+    drop(socket.set_recv_buffer_size(LINK_BUFFER_BYTES));
+    socket.bind(address)?;
+    socket.listen(LINK_BACKLOG)
+}
+
+fn new_socket(address: SocketAddr) -> io::Result<TcpSocket> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    Ok(socket)
+}
--- a/crates/agateflowd/src/meter.rs
+++ b/crates/agateflowd/src/meter.rs
@@ -4,7 +4,8 @@
 
 use agateflow::id;
 use agateflow::outcome;
-use metrics::{Histogram, counter, histogram};
+use agateflow::unit;
+use metrics::{Histogram, counter, gauge, histogram};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use std::sync::OnceLock;
 
@@ -53,6 +54,18 @@
 /// Messages to other processes of the system that the socket did not take.
 const UNSENT: &str = "agateflow_control_unsent_total";
 
+/// Connections of callers that had to go, by what was short and what they did.
+const EVICTIONS: &str = "agateflow_evictions_total";
+
+/// Connections that were closed at once.
+const TURNED_AWAY: &str = "agateflow_turned_away_total";
+
+/// Memory that is held for callers, in bytes.
+const HELD: &str = "agateflow_caller_memory_bytes";
+
+/// Connections of callers.
+const CONNECTIONS: &str = "agateflow_caller_connections";
+
 /// Upper bounds of the histograms' buckets, in seconds; the targets are among them.
 const BUCKETS: [f64; 18] = [
     0.001, 0.0025, 0.005, 0.01, 0.02, 0.035, 0.051, 0.075, 0.1, 0.15, 0.2, 0.31, 0.5, 1.0, 2.5,
@@ -125,6 +138,22 @@
     counter!(REFUSALS, "service" => service.to_string(), "reason" => reason).increment(1);
 }
 
+/// Counts a connection that had to go.
+pub fn evicted(cause: &'static str, stage: &'static str) {
+    counter!(EVICTIONS, "cause" => cause, "stage" => stage).increment(1);
+}
+
+/// Counts a connection that was closed at once.
+pub fn turned_away() {
+    counter!(TURNED_AWAY).increment(1);
+}
+
+/// Records what is held for callers.
+pub fn held(memory: unit::Bytes, connections: usize) {
+    gauge!(HELD).set(memory.get() as f64);
+    gauge!(CONNECTIONS).set(connections as f64);
+}
+
 /// Counts an exclusion of a part of prompts.
 pub fn quarantined() {
     counter!(EXCLUSIONS).increment(1);
--- a/crates/agateflowd/tests/directenv/mod.rs
+++ b/crates/agateflowd/tests/directenv/mod.rs
@@ -14,6 +14,7 @@
 use agateflow::direct::directory::{Change, Revision, State, Upstream};
 use agateflow::direct::response::{Sender, Signs, Subject};
 use agateflow::id;
+use agateflow::intake::Machine;
 use agateflow::unit::{Bytes, Millis};
 use agateflowd::direct::adapter::{Dialect, Forward, Head};
 use agateflowd::direct::entry::Options;
@@ -355,6 +356,7 @@
         },
         grace_period: Millis::new(8_000),
         renewal_interval: Millis::new(1_200),
+        machine: Machine { memory: Bytes::new(260 << 20), sockets: 3_900 },
     }
 }
 
