Path with upstream processes: the same budget for callers and for bodies of attempts

New settings: limits.memory (256 MiB) and limits.idle_time (60 s); limits.connections now bounds connections, before it bounded requests. An upstream process charges the body of each attempt to the link that brought it and refuses the attempt if there is no memory; a peer that is not authenticated may send a hello of 4 KiB and no more; a writer of a link no longer encodes up to 64 large frames at once.

--- a/crates/agateflow/src/settings.rs
+++ b/crates/agateflow/src/settings.rs
@@ -220,6 +220,10 @@
 #[derive(Clone, Debug, PartialEq, Serialize, schemars::JsonSchema)]
 #[serde(deny_unknown_fields, default)]
 pub struct Limits {
+    /// Memory that the process may take.
+    #[serde(serialize_with = "quantity::text")]
+    #[schemars(schema_with = "quantity::size_schema")]
+    pub memory: unit::Bytes,
     /// Maximum number of concurrent connections of callers.
     pub connections: Connections,
     /// Maximum size of a request's head.
@@ -234,6 +238,10 @@
     #[serde(serialize_with = "quantity::text")]
     #[schemars(schema_with = "quantity::size_schema")]
     pub answer_buffer: unit::Bytes,
+    /// Timeout for a connection between two requests.
+    #[serde(serialize_with = "quantity::text")]
+    #[schemars(schema_with = "quantity::millis_schema")]
+    pub idle_time: unit::Millis,
     /// Timeout for receiving a request's head.
     #[serde(serialize_with = "quantity::text")]
     #[schemars(schema_with = "quantity::millis_schema")]
@@ -258,10 +266,12 @@
 impl Default for Limits {
     fn default() -> Self {
         Self {
+            memory: unit::Bytes::new(256 << 20),
             connections: Connections::DEFAULT,
             header: unit::Bytes::new(16 << 10),
             body: unit::Bytes::new(4 << 20),
             answer_buffer: unit::Bytes::new(256 << 10),
+            idle_time: unit::Millis::new(60_000),
             header_time: unit::Millis::new(10_000),
             write_time: unit::Millis::new(30_000),
             request_time: unit::Millis::new(300_000),
@@ -272,10 +282,12 @@
 }
 
 read::read_object!(Limits {
+    memory = Limits::default().memory,
     connections = Limits::default().connections,
     header = Limits::default().header,
     body = Limits::default().body,
     answer_buffer = Limits::default().answer_buffer,
+    idle_time = Limits::default().idle_time,
     header_time = Limits::default().header_time,
     write_time = Limits::default().write_time,
     request_time = Limits::default().request_time,
--- a/crates/agateflow/src/wire/decode.rs
+++ b/crates/agateflow/src/wire/decode.rs
@@ -18,6 +18,13 @@
     reader_options
 }
 
+/// Reader limits for messages from a peer that is not authenticated.
+pub fn small_reader_options() -> message::ReaderOptions {
+    let mut reader_options = reader_options();
+    reader_options.traversal_limit_in_words(Some(2 * wire::MAX_HELLO_BYTES / 8));
+    reader_options
+}
+
 /// Reads the frame in `message`.
 ///
 /// # Errors
--- a/crates/agateflow/src/wire/mod.rs
+++ b/crates/agateflow/src/wire/mod.rs
@@ -23,6 +23,9 @@
 /// Largest frame accepted, in bytes.
 pub const MAX_FRAME_BYTES: usize = 16 << 20;
 
+/// Largest hello, in bytes.
+pub const MAX_HELLO_BYTES: usize = 4 << 10;
+
 /// Why a frame could not be read or written.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
--- a/crates/agateflowd/src/entry/driver.rs
+++ b/crates/agateflowd/src/entry/driver.rs
@@ -9,6 +9,7 @@
 use agateflow::direct::suspect;
 use agateflow::event::Event;
 use agateflow::id;
+use agateflow::intake::Stage;
 use agateflow::request::{self, Ending, Finish, Input, Output, Target};
 use agateflow::unit;
 use agateflow::wire;
@@ -21,6 +22,7 @@
 
 use crate::clock;
 use crate::entry::call::{self, Call};
+use crate::entry::http::Account;
 use crate::entry::problem::Problem;
 use crate::entry::{Shared, balancer, quota, suspects};
 use crate::event;
@@ -64,6 +66,7 @@
     meter: meter::Meter,
     finished: bool,
     _permit: quota::Permit,
+    account: Account,
 }
 
 /// An attempt whose start frame was sent.
@@ -79,8 +82,13 @@
 }
 
 impl Driver {
-    /// Creates the driver of `call`, which holds `permit` until dropped.
-    pub fn new(shared: Arc<Shared>, call: Arc<Call>, permit: quota::Permit) -> Self {
+    /// Creates the driver of `call`, which holds `permit` and `account` until dropped.
+    pub fn new(
+        shared: Arc<Shared>,
+        call: Arc<Call>,
+        permit: quota::Permit,
+        account: Account,
+    ) -> Self {
         let number = shared.request_counter.fetch_add(1, Ordering::Relaxed);
         let now = clock::now();
         let properties = request::Call {
@@ -110,9 +118,15 @@
             meter,
             finished: false,
             _permit: permit,
+            account,
         }
     }
 
+    /// What the request holds of its caller's connection.
+    pub const fn account(&self) -> &Account {
+        &self.account
+    }
+
     /// Whether the response is a stream of server-sent events.
     pub fn is_event_stream(&self) -> bool {
         self.call.stream
@@ -317,6 +331,7 @@
         let start = self.start_frame(id, &target, offset, left);
         // A frame that was not queued reached no socket.
         if link.try_send(wire::Frame::Start(Box::new(start))) {
+            self.account.connection.enter(Stage::Running);
             let load_guard = Some(balancer::Guard::new(&self.shared, &self.call, id, &target.vm));
             let acknowledged = unit::Bytes::new(offset);
             let attempt = Attempt {
--- a/crates/agateflowd/src/entry/mod.rs
+++ b/crates/agateflowd/src/entry/mod.rs
@@ -16,16 +16,17 @@
 
 use agateflow::admission::ticket;
 use agateflow::config;
+use agateflow::intake::{self, Machine};
 use agateflow::limit;
 use agateflow::request;
 use agateflow::unit;
 use arc_swap::ArcSwap;
 use tokio::sync::watch;
 use tokio::time;
-use volo_http::server::Server;
 
 use crate::error::Error;
 use crate::fleet;
+use crate::intake::{Intake, fit_process};
 use crate::link::{self, Identity, client};
 use crate::listener;
 
@@ -35,8 +36,14 @@
 /// Limits of callers' requests.
 #[derive(Clone, Debug)]
 pub struct Limits {
-    /// Maximum number of requests in progress.
-    pub max_requests: usize,
+    /// Maximum number of connections, and of requests in progress.
+    pub max_connections: usize,
+    /// Memory and sockets of the VM.
+    pub machine: Machine,
+    /// How long a connection may be idle between two requests.
+    pub idle_timeout: Duration,
+    /// How long a caller may take to send the header.
+    pub header_timeout: Duration,
     /// Maximum size of the request header.
     pub max_header_bytes: usize,
     /// How long the response may wait for the caller to read some of it.
@@ -93,6 +100,8 @@
     pub selector: Mutex<balancer::Selector>,
     /// Requests and parts of prompts that may crash engines.
     pub suspects: Mutex<suspects::Suspects>,
+    /// Connections of callers and what they hold.
+    pub intake: Arc<Intake>,
     /// Logger.
     pub logger: slog::Logger,
     requests_in_progress: AtomicUsize,
@@ -143,7 +152,7 @@
     ///
     /// [`Error::Socket`] if the address cannot be bound.
     pub async fn start(options: Options) -> Result<Arc<Self>, Error> {
-        let listener = listener::bind(options.callers).await?;
+        let listener = listener::bind(options.callers)?;
         let address = listener::local_address(&listener, options.callers)?;
         let fleet = options.fleet.borrow().clone();
         let (publish, revision) = watch::channel(fleet.revision);
@@ -152,7 +161,10 @@
         let seed = seed.unwrap_or_default() as u64;
         let mut quota = limit::Table::new(&options.members.sender().name);
         quota.configure(&fleet, options.members.now());
+        let intake_limits = intake::Limits::new(fit_process(options.limits.machine))
+            .with_connections(options.limits.max_connections);
         let shared = Arc::new(Shared {
+            intake: Intake::new(intake_limits, options.logger.clone()),
             tickets: ticket::Secret::new(&options.identity.secret),
             identity: options.identity,
             fleet: ArcSwap::new(fleet),
@@ -174,9 +186,8 @@
         let (stop, stopped) = watch::channel(false);
         tokio::spawn(quota::exchange_shares(shared.clone(), stopped.clone()));
         tokio::spawn(apply_configurations(shared.clone(), options.fleet, publish, stopped.clone()));
-        let incoming = listener::Incoming::new(listener, stopped);
-        let server = Server::new(http::Handler::new(shared.clone())).http1_only();
-        listener::serve(server, incoming).await;
+        tokio::spawn(shared.intake.clone().report());
+        tokio::spawn(http::accept(shared.clone(), listener, stopped));
         Ok(Arc::new(Self { address, shared, stop }))
     }
 
--- a/crates/agateflowd/src/fleet/run.rs
+++ b/crates/agateflowd/src/fleet/run.rs
@@ -16,6 +16,7 @@
 use super::error::Error;
 use super::handle::{Command, Shared, View};
 use super::{fetch, service};
+use crate::direct::socket;
 
 const MAX_BURST: usize = 64; // datagrams received before other events are handled
 const MAX_BIND_ATTEMPTS: usize = 16;
@@ -32,7 +33,7 @@
 pub(super) async fn bind(address: net::SocketAddr) -> Result<(UdpSocket, TcpListener), Error> {
     let mut last = None;
     for _ in 0..MAX_BIND_ATTEMPTS {
-        let tcp = TcpListener::bind(address).await.map_err(|e| Error::io("bind", address, e))?;
+        let tcp = socket::listen_links(address).map_err(|e| Error::io("bind", address, e))?;
         let bound = tcp.local_addr().map_err(|e| Error::io("bind", address, e))?;
         match bind_udp(bound) {
             Ok(udp) => return Ok((udp, tcp)),
--- a/crates/agateflowd/src/link/handshake.rs
+++ b/crates/agateflowd/src/link/handshake.rs
@@ -72,7 +72,7 @@
 }
 
 async fn read_hello(reader: &mut stream::Reader, peer: SocketAddr) -> Result<frame::Hello, Error> {
-    match reader.next().await? {
+    match reader.next_small().await? {
         Some(wire::Frame::Hello(hello)) => Ok(hello),
         Some(_) => Err(Error::Peer { peer, reason: "expected a hello frame" }),
         None => Err(Error::Closed { step: "authenticate", peer }),
--- a/crates/agateflowd/src/link/stream.rs
+++ b/crates/agateflowd/src/link/stream.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use agateflow::wire;
+use capnp::message::ReaderOptions;
 use tokio::io::{AsyncWriteExt, BufReader};
 use tokio::net::tcp;
 use tokio::sync::mpsc;
@@ -19,6 +20,9 @@
 /// Maximum number of frames encoded into one write.
 const BATCH_FRAMES: usize = 64;
 
+/// Encoded bytes that are written before further frames are encoded.
+const BATCH_BYTES: usize = 256 << 10;
+
 /// Reads frames from a connection.
 pub struct Reader {
     inner: Compat<BufReader<tcp::OwnedReadHalf>>,
@@ -38,7 +42,19 @@
     ///
     /// [`Error::Frame`] if reading or decoding fails.
     pub async fn next(&mut self) -> Result<Option<wire::Frame>, Error> {
-        let options = wire::decode::reader_options();
+        self.read(wire::decode::reader_options()).await
+    }
+
+    /// Reads the next frame of a peer that is not authenticated yet: a small one.
+    ///
+    /// # Errors
+    ///
+    /// Same as [`Reader::next`].
+    pub async fn next_small(&mut self) -> Result<Option<wire::Frame>, Error> {
+        self.read(wire::decode::small_reader_options()).await
+    }
+
+    async fn read(&mut self, options: ReaderOptions) -> Result<Option<wire::Frame>, Error> {
         let message = capnp_futures::serialize::try_read_message(&mut self.inner, options).await;
         let message = message.map_err(|e| self.error(e.into()))?;
         message.map(|m| wire::decode::frame(&m).map_err(|e| self.error(e))).transpose()
@@ -94,6 +110,11 @@
         buffer.clear();
         for frame in batch.drain(..) {
             encode(&mut buffer, peer, &frame)?;
+            drop(frame);
+            if buffer.len() >= BATCH_BYTES {
+                flush(&mut half, peer, &buffer).await?;
+                buffer = Vec::new();
+            }
         }
         flush(&mut half, peer, &buffer).await?;
     }
--- a/crates/agateflowd/src/operators.rs
+++ b/crates/agateflowd/src/operators.rs
@@ -1,23 +1,33 @@
 //! Pages for operators: health, readiness, metrics and status.
 
-use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use agateflow::unit;
-use http::{StatusCode, header};
+use bytes::Bytes;
+use http::{Request, Response, StatusCode, header};
+use http_body_util::Full;
+use hyper::body::{Body, Incoming};
 use metrics_exporter_prometheus::PrometheusHandle;
-use motore::service::Service;
 use serde::Serialize;
+use tokio::net::TcpListener;
 use tokio::sync::watch;
-use volo_http::body::Body;
-use volo_http::context::ServerContext;
-use volo_http::request::Request;
-use volo_http::response::Response;
-use volo_http::server::Server;
 
+use crate::connection::{self, Timeouts};
 use crate::error::Error;
-use crate::listener;
+use crate::intake::{Connection, Intake};
+use crate::{blocks, listener};
+
+/// Largest head of a request.
+const HEAD_BYTES: usize = 8 << 10;
+
+/// Time limits of connections.
+const TIMEOUTS: Timeouts = Timeouts {
+    idle: Duration::from_secs(60),
+    head: Duration::from_secs(5),
+    write: Duration::from_secs(5),
+};
 
 /// State of a process as `/status` shows it.
 #[derive(Clone, Debug, Serialize)]
@@ -43,17 +53,27 @@
 /// Reads the state of the process.
 pub type Probe = Arc<dyn Fn() -> Status + Send + Sync>;
 
+/// A page before it is charged.
+type Page = Response<Bytes>;
+
 /// Serves the pages.
 #[derive(Clone)]
 pub struct Pages {
     probe: Probe,
     metrics: PrometheusHandle,
+    intake: Arc<Intake>,
+    logger: slog::Logger,
 }
 
 impl Pages {
-    /// Creates the pages of the process that `probe` reads.
-    pub fn new(probe: Probe, metrics: PrometheusHandle) -> Self {
-        Self { probe, metrics }
+    /// Creates the pages of the process that `probe` reads. `intake` takes their connections.
+    pub fn new(
+        probe: Probe,
+        metrics: PrometheusHandle,
+        intake: Arc<Intake>,
+        logger: slog::Logger,
+    ) -> Self {
+        Self { probe, metrics, intake, logger }
     }
 
     /// Starts to serve on `address`; the address bound is returned.
@@ -66,14 +86,48 @@
         address: SocketAddr,
         drain: watch::Receiver<bool>,
     ) -> Result<SocketAddr, Error> {
-        let listener = listener::bind(address).await?;
+        let listener = listener::bind(address)?;
         let bound = listener::local_address(&listener, address)?;
-        let incoming = listener::Incoming::new(listener, drain);
-        listener::serve(Server::new(self).http1_only(), incoming).await;
+        tokio::spawn(self.accept(listener, drain));
         Ok(bound)
     }
 
-    fn page(&self, path: &str) -> Response {
+    async fn accept(self, listener: TcpListener, mut drain: watch::Receiver<bool>) {
+        let closed = drain.clone();
+        while let Some((stream, caller)) =
+            listener::accept(&listener, &mut drain, &self.logger).await
+        {
+            let Some(connection) = self.intake.admit(caller.ip()).await else { continue };
+            let (pages, account, closed) = (self.clone(), connection.clone(), closed.clone());
+            let handle = move |request| pages.clone().respond(account.clone(), request);
+            tokio::spawn(async move {
+                connection::serve(stream, connection, HEAD_BYTES, || TIMEOUTS, closed, handle)
+                    .await;
+            });
+        }
+    }
+
+    /// Responds with a page, charged to the connection. The body of the request is not read.
+    async fn respond(
+        self,
+        connection: Arc<Connection>,
+        request: Request<Incoming>,
+    ) -> Response<Full<Bytes>> {
+        let (parts, body) = request.into_parts();
+        if !body.is_end_stream() {
+            connection.leave_body_unread();
+        }
+        let page = self.page(parts.uri.path());
+        match connection.charge(page.body().len() as u64).await {
+            Ok(charge) => page.map(|text| Full::new(blocks::charged(text, charge))),
+            Err(full) => {
+                let full = full.to_string();
+                text(StatusCode::SERVICE_UNAVAILABLE, "text/plain", full).map(Full::new)
+            }
+        }
+    }
+
+    fn page(&self, path: &str) -> Page {
         match path {
             "/healthz" => self.health(),
             "/readyz" => self.readiness(),
@@ -84,14 +138,14 @@
     }
 
     /// Fails while the process is leaving, so that the balancer stops sending.
-    fn health(&self) -> Response {
+    fn health(&self) -> Page {
         match (self.probe)().leaving {
             true => text(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "leaving\n"),
             false => text(StatusCode::OK, "text/plain", "ok\n"),
         }
     }
 
-    fn readiness(&self) -> Response {
+    fn readiness(&self) -> Page {
         let status = (self.probe)();
         let ready = !status.leaving && (status.links > 0 || status.role == "upstream");
         match ready {
@@ -100,7 +154,7 @@
         }
     }
 
-    fn status(&self) -> Response {
+    fn status(&self) -> Page {
         match serde_json::to_string(&(self.probe)()) {
             Ok(json) => text(StatusCode::OK, "application/json", json),
             Err(e) => text(StatusCode::INTERNAL_SERVER_ERROR, "text/plain", e.to_string()),
@@ -108,19 +162,10 @@
     }
 }
 
-fn text(status: StatusCode, content_type: &'static str, body: impl Into<String>) -> Response {
-    let mut response = Response::new(Body::from(body.into()));
-    *response.status_mut() = status;
+fn text(status: StatusCode, content_type: &'static str, text: impl Into<Bytes>) -> Page {
+    let mut page = Response::new(text.into());
+    *page.status_mut() = status;
     let content_type = http::HeaderValue::from_static(content_type);
-    response.headers_mut().insert(header::CONTENT_TYPE, content_type);
-    response
-}
-
-impl Service<ServerContext, Request> for Pages {
-    type Response = Response;
-    type Error = Infallible;
-
-    async fn call(&self, _: &mut ServerContext, request: Request) -> Result<Response, Infallible> {
-        Ok(self.page(request.uri().path()))
-    }
+    page.headers_mut().insert(header::CONTENT_TYPE, content_type);
+    page
 }
--- a/crates/agateflowd/src/process.rs
+++ b/crates/agateflowd/src/process.rs
@@ -9,6 +9,7 @@
 use agateflow::event::Event;
 use agateflow::fleet::message;
 use agateflow::id;
+use agateflow::intake::{Limits, Machine};
 use agateflow::kernel;
 use agateflow::settings;
 use tokio::sync::watch;
@@ -16,6 +17,7 @@
 
 use crate::entry::{self, Entry};
 use crate::error::Error;
+use crate::intake::Intake;
 use crate::link::{self, Identity};
 use crate::operators::{self, Pages, Status};
 use crate::upstream::{self, Upstream};
@@ -45,6 +47,7 @@
     kernel: kernel::Kernel,
     members: fleet::Handle,
     drain_time: Duration,
+    page_limits: Limits,
     logger: slog::Logger,
 }
 
@@ -70,6 +73,7 @@
             kernel: kernel::Kernel::new(),
             members,
             drain_time: settings.limits.drain_time.duration(),
+            page_limits: Limits::for_page(machine(&settings.limits)),
             logger,
         };
         let probe = match settings.role {
@@ -104,7 +108,10 @@
             fleet: fleet.clone(),
             members: self.members.clone(),
             limits: entry::Limits {
-                max_requests: limits.connections.get() as usize,
+                max_connections: limits.connections.get() as usize,
+                machine: machine(limits),
+                idle_timeout: limits.idle_time.duration(),
+                header_timeout: limits.header_time.duration(),
                 max_header_bytes: limits.header.get() as usize,
                 write_timeout: limits.write_time.duration(),
                 max_body_bytes: limits.body.get() as usize,
@@ -144,6 +151,7 @@
             fleet: fleet.clone(),
             members: self.members.clone(),
             retry_window: settings.limits.key_window,
+            machine: machine(&settings.limits),
             logger: self.logger.clone(),
         };
         let upstream = Upstream::start(options).await?;
@@ -169,7 +177,8 @@
     ) -> Result<(), Error> {
         tokio::spawn(meter::upkeep());
         let (stop, stopped) = watch::channel(false);
-        let pages = Pages::new(probe, meter::recorder());
+        let intake = Intake::new(self.page_limits, self.logger.clone());
+        let pages = Pages::new(probe, meter::recorder(), intake, self.logger.clone());
         self.operators = pages.start(address, stopped).await?;
         // The registry keeps the pages up while the other services drain, so that operators can
         // watch.
@@ -201,6 +210,11 @@
     }
 }
 
+/// The VM as the settings describe it; the process lowers its sockets to what it may open.
+const fn machine(limits: &settings::Limits) -> Machine {
+    Machine { memory: limits.memory, sockets: usize::MAX }
+}
+
 fn secret(secret: &settings::Secret) -> Result<[u8; 32], Error> {
     match secret {
         settings::Secret::Key(key) => Ok(*key.as_bytes()),
--- a/crates/agateflowd/src/upstream/attempt.rs
+++ b/crates/agateflowd/src/upstream/attempt.rs
@@ -355,7 +355,8 @@
     }
 }
 
-fn refused(
+/// The refusal of an attempt that did not run.
+pub fn refused(
     id: id::Attempt,
     reason: admission::reason::Reason,
     retry_after: unit::Millis,
--- a/crates/agateflowd/src/upstream/mod.rs
+++ b/crates/agateflowd/src/upstream/mod.rs
@@ -14,8 +14,8 @@
 
 use agateflow::admission::{self, Input, idempotency, ticket};
 use agateflow::config;
-use agateflow::event::Event;
 use agateflow::id;
+use agateflow::intake::{self, Machine};
 use agateflow::unit;
 use indexmap::IndexMap;
 use tokio::net::TcpListener;
@@ -23,8 +23,9 @@
 use tokio::time;
 
 use crate::error::Error;
+use crate::intake::{Intake, fit_process};
 use crate::link::Identity;
-use crate::{clock, event, fleet, listener};
+use crate::{clock, fleet, listener};
 
 /// Interval between checks for attempts in progress during a drain.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -53,6 +54,8 @@
     pub members: fleet::Handle,
     /// How long callers may retry with the same idempotency key.
     pub retry_window: unit::Millis,
+    /// Memory and sockets of the VM.
+    pub machine: Machine,
     /// Logger.
     pub logger: slog::Logger,
 }
@@ -71,6 +74,8 @@
     pub attempts: attempt::Registry,
     /// Number of links from each entry.
     pub sessions: Sessions,
+    /// Connections and what attempts hold.
+    pub intake: Arc<Intake>,
     /// Secret that authenticates tickets.
     pub ticket_secret: ticket::Secret,
     /// Logger.
@@ -119,7 +124,7 @@
     /// [`Error::Socket`] if the address cannot be bound, [`Error::Http`] if the client of the
     /// engine cannot be built.
     pub async fn start(options: Options) -> Result<Arc<Self>, Error> {
-        let listener = listener::bind(options.listen).await?;
+        let listener = listener::bind_links(options.listen)?;
         let address = listener::local_address(&listener, options.listen)?;
         let backend = backend::Backend::new(options.backend).map_err(|e| Error::Http {
             step: "build client of",
@@ -128,7 +133,9 @@
         })?;
         let ticket_secret = ticket::Secret::new(&options.identity.secret);
         let attempts = registry(&options.identity, options.retry_window, ticket_secret.clone());
+        let limits = intake::Limits::new(fit_process(options.machine));
         let shared = Arc::new(Shared {
+            intake: Intake::new(limits, options.logger.clone()),
             identity: options.identity,
             backend,
             fleet: options.fleet,
@@ -197,19 +204,10 @@
 }
 
 async fn accept(listener: TcpListener, shared: Arc<Shared>, mut stopped: watch::Receiver<bool>) {
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            _ = stopped.wait_for(|stop| *stop) => return,
-        };
-        match accepted {
-            Ok((socket, peer)) => {
-                tokio::spawn(session::serve(socket, peer, shared.clone(), stopped.clone()));
-            }
-            Err(error) => {
-                event!(shared.logger, Event::LinkFailed; "cause" => %error);
-                time::sleep(DRAIN_POLL_INTERVAL).await;
-            }
-        }
+    let closed = stopped.clone();
+    while let Some((socket, peer)) = listener::accept(&listener, &mut stopped, &shared.logger).await
+    {
+        let Some(connection) = shared.intake.admit(peer.ip()).await else { continue };
+        tokio::spawn(session::serve(socket, peer, connection, shared.clone(), closed.clone()));
     }
 }
--- a/crates/agateflowd/src/upstream/session.rs
+++ b/crates/agateflowd/src/upstream/session.rs
@@ -5,7 +5,10 @@
 use std::time::Duration;
 
 use agateflow::admission::Input;
+use agateflow::admission::reason::Reason;
 use agateflow::event::Event;
+use agateflow::id;
+use agateflow::intake::Stage;
 use agateflow::wire;
 use agateflow::wire::frame;
 use tokio::net::TcpStream;
@@ -13,23 +16,33 @@
 use tokio::time;
 
 use crate::error::Error;
-use crate::event;
+use crate::intake::{self, Connection};
 use crate::link::{Peer, handshake, stream};
 use crate::upstream::{Shared, TICKET_LIFETIME, attempt};
+use crate::{blocks, event};
 
 /// Timeout for an entry to authenticate.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Size from which a body counts as often as it is copied.
+const LARGE_BODY_BYTES: u64 = 64 << 10;
+
+/// Times that a large body takes its size: as a message of a link, decoded and sent to the engine. The allocator keeps
+/// what is freed of them for a while.
+const BODY_COPIES: u64 = 3;
+
 /// Serves the link until it is lost or `stopped` turns true.
 pub async fn serve(
     socket: TcpStream,
     address: SocketAddr,
+    connection: Arc<Connection>,
     shared: Arc<Shared>,
     mut stopped: watch::Receiver<bool>,
 ) {
     let result = tokio::select! {
-        result = serve_entry(socket, address, &shared) => result,
+        result = serve_entry(socket, address, &connection, &shared) => result,
         _ = stopped.wait_for(|stop| *stop) => Ok(()),
+        () = connection.evicted() => Ok(()),
     };
     match result {
         Ok(()) => {}
@@ -48,6 +61,7 @@
 async fn serve_entry(
     socket: TcpStream,
     address: SocketAddr,
+    connection: &Arc<Connection>,
     shared: &Arc<Shared>,
 ) -> Result<(), Error> {
     let socket_error = |source| Error::Socket { step: "accept link from", peer: address, source };
@@ -59,11 +73,13 @@
     let accepting = handshake::accept(&shared.identity, revision, halves, address);
     let timeout = Error::Timeout { step: "authenticate", peer: address };
     let peer = time::timeout(HANDSHAKE_TIMEOUT, accepting).await.map_err(|_| timeout)??;
+    // An authenticated link does not have to go.
+    connection.enter(Stage::Running);
 
     shared.sessions.open(peer.incarnation);
     let (queue, frames) = mpsc::channel(stream::QUEUE_FRAMES);
     let result = tokio::select! {
-        result = read(&mut reader, shared, &peer, &queue) => result,
+        result = read(&mut reader, shared, connection, &peer, &queue) => result,
         result = stream::write_all(writer, address, frames) => result,
     };
     if shared.sessions.close(peer.incarnation) {
@@ -75,6 +91,7 @@
 async fn read(
     reader: &mut stream::Reader,
     shared: &Arc<Shared>,
+    connection: &Arc<Connection>,
     peer: &Peer,
     queue: &mpsc::Sender<wire::Frame>,
 ) -> Result<(), Error> {
@@ -83,14 +100,25 @@
         if frame.id().is_some_and(|id| id.entry != peer.incarnation) {
             return Err(Error::Peer { peer: peer.address, reason: "frame for another entry" });
         }
-        handle(frame, shared, queue).await;
+        handle(frame, shared, connection, queue).await;
     }
     Ok(())
 }
 
-async fn handle(frame: wire::Frame, shared: &Arc<Shared>, queue: &mpsc::Sender<wire::Frame>) {
+async fn handle(
+    frame: wire::Frame,
+    shared: &Arc<Shared>,
+    connection: &Arc<Connection>,
+    queue: &mpsc::Sender<wire::Frame>,
+) {
     match frame {
-        wire::Frame::Start(start) => attempt::start(shared, *start, queue).await,
+        wire::Frame::Start(start) => match charge(*start, connection) {
+            Ok(start) => attempt::start(shared, start, queue).await,
+            Err(id) => {
+                let refused = attempt::refused(id, Reason::Overloaded, intake::RETRY_AFTER);
+                let _ = queue.send(refused).await;
+            }
+        },
         wire::Frame::Cancel(id) => attempt::process(shared, Input::Cancel(id), Some(queue)).await,
         wire::Frame::Window(mark) => shared.attempts.acknowledge(mark),
         wire::Frame::Seal(seal) => attempt::process(shared, Input::Seal(seal), Some(queue)).await,
@@ -104,6 +132,20 @@
     }
 }
 
+/// Charges the body of an attempt to its link until the last copy of it is dropped. Returns the attempt's id if
+/// there is no memory for it.
+fn charge(
+    mut start: frame::Start,
+    connection: &Arc<Connection>,
+) -> Result<frame::Start, id::Attempt> {
+    let length = start.body.len() as u64;
+    let copies = if length > LARGE_BODY_BYTES { BODY_COPIES } else { 1 };
+    let charge = connection.charge_now(length * copies).map_err(|_| start.id)?;
+    let body = blocks::unpooled(start.body).map_err(|_| start.id)?;
+    start.body = blocks::charged(body, charge);
+    Ok(start)
+}
+
 async fn issue_tickets(
     shared: &Arc<Shared>,
     call: frame::TicketCall,
--- a/crates/agateflowd/tests/crowd.rs
+++ b/crates/agateflowd/tests/crowd.rs
@@ -7,7 +7,6 @@
 
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -17,6 +16,7 @@
 use rstest::rstest;
 use rustix::process::Signal;
 use testenv::{Call, Daemon, Fleet, KEY, Plan};
+use tokio::sync::{Mutex, MutexGuard};
 
 /// Memory of a machine where the settings name none, in bytes.
 const MEMORY_BYTES: u64 = 256 << 20;
@@ -42,9 +42,9 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Lets one test run at a time: each fills the memory of its processes.
-fn alone() -> MutexGuard<'static, ()> {
-    static ALONE: Mutex<()> = Mutex::new(());
-    ALONE.lock().unwrap_or_else(PoisonError::into_inner)
+async fn alone() -> MutexGuard<'static, ()> {
+    static ALONE: Mutex<()> = Mutex::const_new(());
+    ALONE.lock().await
 }
 
 fn plan() -> Plan {
@@ -108,7 +108,7 @@
 #[case::sent_far_over(Way::SentFarOver)]
 #[tokio::test(flavor = "multi_thread")]
 async fn bodies_stay_within_the_memory(#[case] way: Way) {
-    let _alone = alone();
+    let _alone = alone().await;
     let mut fleet = Fleet::start(plan()).await;
     let watches = watches(&fleet);
     let callers = fleet.callers(0);
@@ -129,7 +129,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn answers_that_are_not_read_stay_within_the_memory() {
-    let _alone = alone();
+    let _alone = alone().await;
     let mut fleet = Fleet::start(plan()).await;
     let watches = watches(&fleet);
     let callers = fleet.callers(0);
@@ -152,7 +152,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn memory_holds_during_a_stop() {
-    let _alone = alone();
+    let _alone = alone().await;
     let mut fleet = Fleet::start(plan()).await;
     let watches = watches(&fleet);
     let callers = fleet.callers(0);
@@ -176,7 +176,7 @@
 #[case::heads_unfinished("POST /calibrations HTTP/1.1\r\nhost: h\r\n")]
 #[tokio::test(flavor = "multi_thread")]
 async fn connections_leave_descriptors_for_upstreams(#[case] bytes: &'static str) {
-    let _alone = alone();
+    let _alone = alone().await;
     let mut fleet = Fleet::start(plan().with_max_descriptors(MAX_DESCRIPTORS)).await;
     let watches = watches(&fleet);
     let callers = fleet.callers(0);
@@ -237,7 +237,7 @@
 #[case(Port::UpstreamLink)]
 #[tokio::test(flavor = "multi_thread")]
 async fn crowd_at_another_port_leaves_descriptors_and_memory(#[case] port: Port) {
-    let _alone = alone();
+    let _alone = alone().await;
     let mut fleet = Fleet::start(plan().with_max_descriptors(MAX_DESCRIPTORS)).await;
     let watches = watches(&fleet);
     let address = port.address(&fleet);
@@ -258,7 +258,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn body_that_is_announced_over_the_limit_is_answered_413() {
-    let _alone = alone();
+    let _alone = alone().await;
     let fleet = Fleet::start(plan()).await;
     let callers = fleet.callers(0);
     let head = request("/calibrations") + "content-length: 1099511627776\r\n\r\n";
