--- a/crates/agateflow/src/direct/response.rs
+++ b/crates/agateflow/src/direct/response.rs
@@ -2,6 +2,8 @@
 
 use std::fmt;
 
+use crate::outcome;
+
 const STATUS_MISDIRECTED: u16 = 421;
 
 /// Which request a response names.
@@ -50,7 +52,7 @@
     NotRun,
     /// Another upstream has the address, and did not run the request.
     Misdirected,
-    /// Belongs to another request, lacks proof that an upstream produced it, or contradicts itself.
+    /// Has no final status, belongs to another request, lacks proof that an upstream produced it, or contradicts itself.
     Foreign,
 }
 
@@ -59,7 +61,8 @@
     /// the request may be a copy of an earlier one.
     pub fn classify(&self, reused: bool) -> Classification {
         let is_success = (200..300).contains(&self.status);
-        if self.subject == Subject::Other || (is_success && self.not_run) {
+        let is_final = outcome::is_final(self.status);
+        if !is_final || self.subject == Subject::Other || (is_success && self.not_run) {
             return Classification::Foreign;
         }
         if self.not_run || self.is_misdirected() {
--- a/crates/agateflow/src/outcome.rs
+++ b/crates/agateflow/src/outcome.rs
@@ -37,6 +37,11 @@
     }
 }
 
+/// Whether an HTTP status ends a request: others belong to no answer, or to one that is not complete.
+pub const fn is_final(status: u16) -> bool {
+    200 <= status && status <= 599
+}
+
 /// Whether an HTTP status tells callers that the request did not run and will not: they may send it
 /// again even if it must not run twice.
 pub const fn promises_not_run(status: u16) -> bool {
--- a/crates/agateflowd/src/upstream/backend.rs
+++ b/crates/agateflowd/src/upstream/backend.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use agateflow::admission::answer;
+use agateflow::outcome;
 use agateflow::wire::frame;
 use bytes::Bytes;
 use http::header;
@@ -106,7 +107,13 @@
         let mut request = self.client.request(method, uri);
         add_headers(request.headers_mut(), start)?;
         let response = request.body(Body::from(start.body.clone())).send().await;
-        response.map_err(|error| self.classify(&error))
+        let response = response.map_err(|error| self.classify(&error))?;
+        let status = response.status().as_u16();
+        if !outcome::is_final(status) {
+            let reason = format!("status {status} is not final").into();
+            return Err(Error::Ambiguous { peer: self.address, reason });
+        }
+        Ok(response)
     }
 
     fn classify(&self, error: &ClientError) -> Error {
--- a/crates/agateflowd/tests/promise.rs
+++ b/crates/agateflowd/tests/promise.rs
@@ -168,3 +168,21 @@
     assert_eq!(response.status().as_u16(), 503);
     assert_eq!(testenv::outcome(&response).as_deref(), Some("not-run"));
 }
+
+/// What a service sends without a final status is no answer to a call, which may have run.
+#[rstest]
+#[case("000")]
+#[case("101")]
+#[case("600")]
+#[case("999")]
+#[tokio::test(flavor = "multi_thread")]
+async fn line_without_a_final_status_is_no_answer(#[case] status: &str) {
+    let answer = format!("HTTP/1.1 {status} X\r\ncontent-length: 2\r\n\r\nno");
+    let service = Scripted::start(&answer, End::Closed).await;
+    let fleet = start_fleet(&service).await;
+
+    let response = fleet.send(0, Call::new("POST", "/calibrations", "sensor 7")).await;
+
+    assert_eq!(response.status(), 502);
+    assert_eq!(testenv::outcome(&response).as_deref(), Some("unknown"));
+}
