Intake: a connection that is turned away is logged without locking twice; refusals of evicted callers linger

Found by reading: the log line of a connection that is turned away took the ledger's lock twice in one statement. And a connection that had to go was closed with unread bytes behind its refusal, which takes the refusal back.

--- a/crates/agateflowd/src/connection.rs
+++ b/crates/agateflowd/src/connection.rs
@@ -163,6 +163,8 @@
 /// Reads and drops what a caller still sends, as closing a socket with unread bytes takes back the response.
 async fn linger(stream: &mut TcpStream, connection: &Connection) {
     connection.enter(Stage::Idle);
+    // One that had to go before has given up what it held but for the connection itself.
+    let had_to_go = connection.is_evicted();
     let mut buffer = vec![0; LINGER_BUFFER_BYTES];
     let drained = async {
         stream.shutdown().await?;
@@ -178,7 +180,7 @@
     tokio::select! {
         // However it ends, the connection is closed.
         _ = time::timeout(LINGER_TIME, drained) => {}
-        () = connection.evicted() => {}
+        () = connection.evicted(), if !had_to_go => {}
     }
 }
 
--- a/crates/agateflowd/src/intake.rs
+++ b/crates/agateflowd/src/intake.rs
@@ -96,16 +96,20 @@
                 Ok(connection) => return Some(connection),
                 Err(Verdict::Wait) if time::timeout_at(deadline, freed).await.is_ok() => {}
                 Err(_) => {
-                    meter::turned_away();
-                    event!(self.logger, Event::CallerTurnedAway; "caller" => %caller,
-                        "connections" => self.state().ledger.connections(),
-                        "held" => self.held().get());
+                    self.record_turned_away(caller);
                     return None;
                 }
             }
         }
     }
 
+    fn record_turned_away(&self, caller: IpAddr) {
+        meter::turned_away();
+        let state = self.state();
+        event!(self.logger, Event::CallerTurnedAway; "caller" => %caller,
+            "connections" => state.ledger.connections(), "held" => state.ledger.held().get());
+    }
+
     fn open(self: &Arc<Self>, caller: IpAddr) -> Result<Arc<Connection>, Verdict> {
         let mut state = self.state();
         let (opened, evictions) = state.ledger.open(caller, self.now());
