--- a/crates/agateflowd/src/entry/http.rs
+++ b/crates/agateflowd/src/entry/http.rs
@@ -47,6 +47,9 @@
 /// what is freed of them for a while.
 const BODY_COPIES: u64 = 4;
 
+/// Size beyond the limit up to which a header is read and rejected.
+const HEADER_MARGIN_BYTES: usize = 8 << 10;
+
 /// What a request in progress holds of its caller's connection.
 pub struct Account {
     /// The connection.
@@ -72,7 +75,8 @@
                 head: shared.limits.header_timeout,
                 write: shared.limits.write_timeout,
             };
-            let max_head = shared.limits.max_header_bytes;
+            // A header that is a little too large is read, so that its caller gets the outcome.
+            let max_head = shared.limits.max_header_bytes + HEADER_MARGIN_BYTES;
             let handle = move |request| handle(shared.clone(), account.clone(), request);
             connection::serve(stream, connection, max_head, move || timeouts, closed, handle).await;
         });
